--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -43,5 +44,7 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
 	log.SetPrefix(c.Name + " ")
+	slog.Info("starting", "listen", c.Listen, "cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets,
+		"deployment", fmt.Sprintf("%+v", c.Deployment))
 	return gateway.Run(ctx, &c)
 }
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -46,6 +46,8 @@
 	deadline float64
 	until    time.Time // the deadline for sockets
 	ended    bool
+	outcome  rules.Outcome // once ended
+	took     float64
 
 	ctx    context.Context // of the dial
 	cancel context.CancelFunc
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -52,8 +52,9 @@
 	reply chan answer
 
 	// The loop's own:
-	open     bool // the final answer has not been given
-	out      int  // attempts out
+	queued   float64 // seconds until the loop took it in
+	open     bool    // the final answer has not been given
+	out      int     // attempts out
 	attempts []*attempt
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -57,6 +57,9 @@
 	timers  timerHeap
 	actions []rules.Action
 	pending []rules.Event // events that actions brought about
+
+	traced   int     // lines about single requests
+	tracedAt float64 // in the second from here on
 }
 
 func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
@@ -110,6 +113,7 @@
 	case clientGone:
 		if m.x.open {
 			m.x.open = false
+			l.trace(m.x, "client left")
 			l.handle(rules.ClientGone{Request: m.x.ask.ID})
 			l.drop(m.x)
 		}
@@ -145,7 +149,7 @@
 	for taken := true; taken; _, taken = l.live[l.nextID] {
 		l.nextID = max(l.nextID+1, 1) // 0 stands for no request
 	}
-	x.ask.ID, x.open = l.nextID, true
+	x.ask.ID, x.open, x.queued = l.nextID, true, l.clock.now()-x.ask.Sent
 	l.live[x.ask.ID] = x
 	l.handle(x.ask)
 }
@@ -244,7 +248,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.outcome, a.took = true, res.outcome, l.clock.now()-a.sent
 	x := a.x
 	x.out--
 	if res.outcome == rules.Served && x.open {
@@ -253,7 +257,7 @@
 		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
 	}
 	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
-		Took: l.clock.now() - a.sent, Done: !x.open})
+		Took: a.took, Done: !x.open})
 	l.drop(x)
 }
 
@@ -278,6 +282,12 @@
 		return
 	}
 	x.open = false
+	switch {
+	case a.status != http.StatusOK:
+		l.trace(x, "not served")
+	case l.clock.now()-x.ask.Sent > l.deploy.Classes[x.ask.Class].Aim:
+		l.trace(x, "served late")
+	}
 	x.reply <- a // it has room for one, and one is all it gets
 	l.drop(x)
 }
--- /dev/null
+++ b/internal/gateway/trace.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"linnetbend/rules"
+)
+
+// mostTraces bounds the lines a second about single requests, so that an
+// outage does not cost the gateway the time it needs for its work.
+const mostTraces = 10
+
+var outcomeNames = map[rules.Outcome]string{rules.Served: "served", rules.Errored: "error", rules.Full: "full",
+	rules.TimedOut: "timeout", rules.ConnectFailed: "no_connection", rules.Broken: "reset",
+	rules.Cancelled: "cancelled", rules.Moot: "moot"}
+
+// trace writes where the time of a request went that ended badly. All times
+// are seconds since its last byte came in.
+func (l *Loop) trace(x *exchange, what string) {
+	now := l.clock.now()
+	if now-l.tracedAt >= 1 {
+		l.traced, l.tracedAt = 0, now
+	}
+	if l.traced++; l.traced > mostTraces {
+		return
+	}
+	var attempts strings.Builder
+	for i, a := range x.attempts {
+		if i > 0 {
+			attempts.WriteByte(',')
+		}
+		fmt.Fprintf(&attempts, "%08x@%.3f", uint32(a.backend), a.sent-x.ask.Sent)
+		if a.ended {
+			fmt.Fprintf(&attempts, "+%.3f:%s", a.took, outcomeNames[a.outcome])
+		}
+	}
+	slog.Info(what, "id", x.header.Get(idHeader), "class", l.deploy.ClassNames[x.ask.Class],
+		"plan", l.deploy.PlanNames[x.ask.Plan], "customer", uint64(x.ask.Customer), "units", x.ask.Units,
+		"repeat", x.ask.Repeat, "left", round(x.ask.Deadline-x.ask.Sent), "queued", round(x.queued),
+		"took", round(now-x.ask.Sent), "attempts", attempts.String())
+}
+
+// round keeps milliseconds.
+func round(seconds float64) float64 { return float64(int(seconds*1000+0.5)) / 1000 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,6 +8,7 @@
 // (send) and one answers (giveBack), which hold the rules that no other step may bypass.
 
 import (
+	"fmt"
 	"math"
 	"slices"
 )
@@ -65,6 +66,7 @@
 	coldSave = 1.5  // sends a cold backend's budget holds at most
 	askRest  = 1.0  // seconds until discovery is asked again after it failed
 	houseGap = 0.05 // seconds between rounds of housekeeping
+	tellGap  = 1.0  // seconds between lines about requests that were given back
 	idleDrop = 60.0 // seconds after which a customer is forgotten
 )
 
@@ -141,7 +143,7 @@
 	who := g.customerOf(r)
 	j.customer = who
 	if j.giveUp < g.now+g.latency/2 {
-		g.giveBack(j)
+		g.giveBack(j, tooLate)
 		return
 	}
 	at := len(who.waiting)
@@ -188,7 +190,14 @@
 	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
 		g.late(j, n)
 	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
-		g.giveBack(j)
+		switch {
+		case len(j.attempts) > 0:
+			g.giveBack(j, noAnswer)
+		case j.paid:
+			g.giveBack(j, heldOut)
+		default:
+			g.giveBack(j, noLease)
+		}
 	}
 }
 
@@ -202,7 +211,7 @@
 		higher += g.arrivals[l]
 	}
 	if g.full(j.level) && ahead*x >= (j.giveUp-g.now-g.latency)*max(1-x*higher, 0) {
-		g.giveBack(j)
+		g.giveBack(j, noRoom)
 		return
 	}
 	g.queues[j.level] = append(g.queues[j.level], j)
@@ -376,7 +385,7 @@
 		g.close(j)
 	case j.out > 0: // another attempt may still answer
 	case !g.again(j):
-		g.giveBack(j)
+		g.giveBack(j, noRetry)
 	}
 	if j.done && j.out == 0 {
 		delete(g.jobs, j.ID)
@@ -426,7 +435,8 @@
 
 // giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
-func (g *Gateway) giveBack(j *job) {
+func (g *Gateway) giveBack(j *job, why reason) {
+	g.given[why]++
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		advice := 0.0
 		if g.set.CanAdvise && j.paid {
@@ -601,6 +611,7 @@
 		g.arrivals[l] += gain * (g.arrived[l]/span - g.arrivals[l])
 		g.arrived[l] = 0
 	}
+	g.tell()
 	keep := g.roster[:0]
 	for _, c := range g.roster {
 		if g.now >= c.expires {
@@ -619,6 +630,22 @@
 	g.roster = keep
 }
 
+// tell writes, at most once in tellGap, why requests were given back, and the state that led to it.
+func (g *Gateway) tell() {
+	if g.given == [reasons]int{} || g.now-g.toldAt < tellGap {
+		return
+	}
+	line := fmt.Sprintf("given back: bound=%.1f in_flight=%d ghosts=%d latency=%.3f pressure=%.2f crowd=%.2f",
+		g.bound, g.inFlight, g.ghosts(), g.latency, g.pressure, g.crowd)
+	for why, n := range g.given {
+		if n > 0 {
+			line += fmt.Sprintf(" %s=%d", reasonNames[why], n)
+		}
+	}
+	g.do(Log{Text: line})
+	g.given, g.toldAt = [reasons]int{}, g.now
+}
+
 // terms works out what a plan comes to for a customer of so many gateways.
 //
 // With few gateways each sees the totals often enough to keep an exact store: a long window whose allowance
@@ -700,14 +727,14 @@
 			case c.asking > 0:
 				return
 			case g.now < c.dryUntil:
-				g.giveBack(j)
+				g.giveBack(j, overQuota)
 				continue
 			case !g.set.Counter || g.now < c.restTill:
 				if !c.takeLocal(g.now, j.Units) {
 					if g.set.Counter && c.terms.exact && c.restTill+g.latency < j.giveUp {
 						return // held: a crowded counter may have room in a moment
 					}
-					g.giveBack(j)
+					g.giveBack(j, noCounter)
 					continue
 				}
 				c.owed += j.Units
--- a/rules/state.go
+++ b/rules/state.go
@@ -38,7 +38,35 @@
 	warmSent          int
 	lastHouse         float64
 	patience          []patience
-	arrivals, arrived []float64 // by level: a second, and since lastHouse
+	arrivals, arrived []float64    // by level: a second, and since lastHouse
+	given             [reasons]int // requests given back since toldAt
+	toldAt            float64
+}
+
+// reason says why a request was given back.
+type reason int
+
+const (
+	tooLate   reason = iota // no time left when it came
+	overQuota               // the counter has no units for its customer
+	noCounter               // the counter is silent and the local share spent
+	noLease                 // the counter's answer came too late
+	noRoom                  // the bound is full and the wait would be too long
+	heldOut                 // it waited for the bound for all of its time
+	noRetry                 // its attempt failed and there was none further
+	noAnswer                // its attempt took all of its time
+	reasons
+)
+
+var reasonNames = [reasons]string{"too_late", "over_quota", "no_counter", "no_lease", "no_room", "held_out",
+	"no_retry", "no_answer"}
+
+// ghosts counts the attempts that were given up and still count as work in flight.
+func (g *Gateway) ghosts() (n int) {
+	for _, s := range g.list {
+		n += len(s.ghosts)
+	}
+	return n
 }
 
 // job is one request from its arrival until its last attempt has ended.
