--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -26,6 +27,7 @@
 	bodyTimeout   = 5 * time.Second
 	writeTimeout  = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	crowdTellGap  = time.Second
 	readyPath     = "/health/ready"
 
 	idHeader     = "X-Correlation-Id"
@@ -74,9 +76,11 @@
 	leaving   atomic.Bool // connections are closed after their answer
 	mostConns int         // above it, connections are closed after their answer
 
-	mu    sync.Mutex
-	conns int                   // open
-	fresh map[net.Conn]struct{} // of these, those on which nothing has come yet
+	mu     sync.Mutex
+	conns  int                   // open
+	fresh  map[net.Conn]struct{} // of these, those on which nothing has come yet
+	busy   int                   // of these, those with a request
+	toldAt time.Time             // of the last line about a crowd
 }
 
 // server serves clients whose requests are held for the given time at most.
@@ -114,10 +118,21 @@
 func (f *frontend) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.conns > f.mostConns
+	if f.conns <= f.mostConns {
+		return false
+	}
+	if now := time.Now(); now.Sub(f.toldAt) >= crowdTellGap {
+		f.toldAt = now
+		slog.Warn("many connections of clients", "open", f.conns, "silent", len(f.fresh), "busy", f.busy)
+	}
+	return true
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.busy++
+	f.mu.Unlock()
+	defer func() { f.mu.Lock(); f.busy--; f.mu.Unlock() }()
 	if f.leaving.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
 	}
