End peers that send no whole request within 3 s of their connection

From second 9 on they held 175 of the 176 places for clients ("many connections of clients open=176 silent=175 busy=1"); clients waited unseen in the listen queue, and had left when their requests were read ("client left ... took=0").

The header of a request is now owed within 2 s and its body within 2.8 s, counted from the connection or the request's first byte.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -23,8 +23,8 @@
 	mostHeader    = 16 << 10 // bytes
 	mostName      = 256      // bytes of an id or a key
 	mostPatience  = time.Hour
-	headerTimeout = 30 * time.Second
-	bodyTimeout   = 5 * time.Second
+	headerTimeout = 2 * time.Second         // a peer that sends no request is owed an end within 3 s
+	readTimeout   = 2800 * time.Millisecond // and one that sends no whole request as well
 	writeTimeout  = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	crowdTellGap  = time.Second
@@ -85,8 +85,8 @@
 
 // server serves clients whose requests are held for the given time at most.
 func (f *frontend) server(longest time.Duration) *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: bodyTimeout + longest + writeTimeout, ConnState: f.connState}
+	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: f.connState}
 	s.RegisterOnShutdown(f.closeFresh)
 	return s
 }
@@ -185,8 +185,6 @@
 		return nil, http.StatusRequestEntityTooLarge, errTooLong
 	}
 	if r.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		x.body, err = readBody(http.MaxBytesReader(w, r.Body, mostBody), r.ContentLength)
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			return nil, http.StatusRequestEntityTooLarge, errTooLong
@@ -194,8 +192,7 @@
 			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 		}
 		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
-		control.SetReadDeadline(time.Time{})
-		now = f.loop.clock.now() // a request's time counts from its last byte
+		now = f.loop.clock.now()    // a request's time counts from its last byte
 	}
 	x.ask.Sent = now
 	x.ask.Deadline += now - answerMargin
