Read the configuration again on SIGHUP and move to its addresses

Discovery and the counter now move to the new addresses: the watch starts there from the whole list, and a lane of the counter writes there once what is out at the old address is answered, since replies for one name must keep their order.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -1,5 +1,6 @@
 // Elderyard is one gateway on real sockets. EDGE_CONFIG names its
-// configuration; SIGTERM makes it answer what it holds and end.
+// configuration; SIGHUP makes it read that again, SIGTERM answer what it holds
+// and end.
 package main
 
 import (
@@ -32,6 +33,9 @@
 }
 
 func run(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
@@ -46,5 +50,29 @@
 	log.SetPrefix(c.Name + " ")
 	slog.Info("starting", "listen", c.Listen, "cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets,
 		"deployment", fmt.Sprintf("%+v", c.Deployment))
-	return gateway.Run(ctx, &c)
+	reloads := make(chan gateway.Config)
+	go reload(ctx, path, hangups, reloads)
+	return gateway.Run(ctx, &c, reloads)
+}
+
+// reload reads the configuration again at each hangup until ctx ends. With one
+// that can't be read the gateway goes on as it is.
+func reload(ctx context.Context, path string, hangups <-chan os.Signal, reloads chan<- gateway.Config) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		c, err := gateway.ReadConfig(path)
+		if err != nil {
+			slog.Error("not reloaded", "error", err)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case reloads <- c:
+		}
+	}
 }
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -44,20 +44,24 @@
 // counter makes calls over a few pipelined connections. The calls for one name
 // keep to one connection, so their answers come in the order of the calls.
 type counter struct {
-	address string
+	address atomic.Pointer[string]
 	timeout time.Duration
 	lanes   [lanes]chan *call
 	readers sync.WaitGroup // one for each connection
 }
 
 func newCounter(address string, timeout time.Duration) *counter {
-	c := &counter{address: address, timeout: timeout}
+	c := &counter{timeout: timeout}
+	c.move(address)
 	for i := range c.lanes {
 		c.lanes[i] = make(chan *call, mostCalls)
 	}
 	return c
 }
 
+// move sends later calls to another address.
+func (c *counter) move(address string) { c.address.Store(&address) }
+
 // add hands a call over without waiting. It returns false where too many wait.
 func (c *counter) add(k *call) bool {
 	select {
@@ -103,7 +107,12 @@
 				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
 				continue
 			}
-			if conn != nil && !conn.usable(used) {
+			switch {
+			case conn == nil:
+			case conn.host != *c.address.Load():
+				conn.finish(c.timeout)
+				conn = nil
+			case !conn.usable(used):
 				conn.Close()
 				conn = nil
 			}
@@ -131,16 +140,18 @@
 	out     atomic.Int64 // calls without an answer
 	waiting chan *call   // written, in order
 	once    sync.Once
+	read    chan struct{} // closed when the last answer has come
 }
 
 func (c *counter) dial(ctx context.Context) (*counterConn, error) {
 	d := net.Dialer{Timeout: c.timeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", c.address)
+	address := *c.address.Load()
+	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: c.address, waiting: make(chan *call, mostCalls)}
-	c.readers.Go(conn.read)
+	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), read: make(chan struct{})}
+	c.readers.Go(conn.readAll)
 	return conn, nil
 }
 
@@ -151,6 +162,19 @@
 	return c.Conn.Close()
 }
 
+// finish ends a connection to an address that is left, once the calls that are
+// out have had their time: the next connection must not be answered before.
+func (c *counterConn) finish(within time.Duration) {
+	c.once.Do(func() { close(c.waiting) })
+	patience := time.NewTimer(within)
+	defer patience.Stop()
+	select {
+	case <-c.read:
+	case <-patience.C:
+	}
+	c.Close()
+}
+
 // usable tells whether another call may be written. The counter may close an
 // idle connection sooner than agreed, and a call written then is in doubt.
 func (c *counterConn) usable(used time.Time) bool {
@@ -177,9 +201,10 @@
 	c.waiting <- k
 }
 
-// read takes the answers in. What is out when the connection ends may have been
-// added.
-func (c *counterConn) read() {
+// readAll takes the answers in. What is out when the connection ends may have
+// been added.
+func (c *counterConn) readAll() {
+	defer close(c.read)
 	left := &io.LimitedReader{R: c.Conn}
 	r := bufio.NewReader(left)
 	asked := &http.Request{Method: http.MethodPost}
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -142,3 +142,24 @@
 		t.Error("usable after the counter closed it")
 	}
 }
+
+// After a move later calls go to the new address, and what is out at the old one
+// is still answered, first: replies for one name come in the order of the calls.
+func TestCounterMoves(t *testing.T) {
+	old, next := newPeer(t), newPeer(t)
+	c, add, replies := startCounter(t, old.address())
+	add(1)
+	conn, r := old.accept(t)
+	readRequest(t, r)
+	c.move(next.address())
+	add(2)
+	total(conn, 200, "1")
+	conn, r = next.accept(t)
+	readRequest(t, r)
+	total(conn, 200, "3")
+	for _, want := range []reply{{1, rules.Served, 1}, {2, rules.Served, 3}} {
+		if got := wait(t, replies, "reply"); got != want {
+			t.Errorf("reply %v, want %v", got, want)
+		}
+	}
+}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"linnetbend/internal/wire"
@@ -87,10 +88,31 @@
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
 }
 
-// run asks until ctx ends: once for the list, from then on for changes. A
+// run follows discovery until ctx ends, at each new address from the whole list
+// on: the versions of another agent need not be those of the last.
+func (w *watcher) run(ctx context.Context, moves <-chan string) {
+	for {
+		inner, leave := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		wg.Go(func() { w.follow(inner) })
+		address := ""
+		select {
+		case <-ctx.Done():
+		case address = <-moves:
+		}
+		leave()
+		wg.Wait()
+		if ctx.Err() != nil {
+			return
+		}
+		w.address, w.listed = address, false
+	}
+}
+
+// follow asks until ctx ends: once for the list, from then on for changes. A
 // failed call is made again soon, on a new connection, from the last version
 // that arrived; what changed meanwhile comes with its answer.
-func (w *watcher) run(ctx context.Context) {
+func (w *watcher) follow(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	var complained time.Time
 	for ctx.Err() == nil {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -50,7 +50,7 @@
 	w := newWatcher(r.address(), func(l Listing) { heard <- l })
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { w.run(ctx) })
+	wg.Go(func() { w.run(ctx, nil) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 
 	// Each step: the call that is expected, its answer, and what is handed on.
@@ -83,6 +83,31 @@
 	}
 }
 
+// A watch that stands open at the old address is given up for the new one, and
+// starts there from the whole list.
+func TestWatchMoves(t *testing.T) {
+	old, next := newRegistry(t), newRegistry(t)
+	heard := make(chan Listing, 64)
+	w := newWatcher(old.address(), func(l Listing) { heard <- l })
+	ctx, cancel := context.WithCancel(context.Background())
+	moves := make(chan string)
+	var wg sync.WaitGroup
+	wg.Go(func() { w.run(ctx, moves) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	wait(t, old.calls, "first call")
+	old.answers <- Listing{Generation: 41, Reset: true}
+	wait(t, heard, "list")
+	wait(t, old.calls, "watch")
+	moves <- next.address()
+	if got := wait(t, next.calls, "call at the new address"); got != "" {
+		t.Errorf("call %q, want the whole list", got)
+	}
+	next.answers <- Listing{Generation: 7}
+	if got := wait(t, heard, "list from the new address"); got.Generation != 7 || !got.Reset {
+		t.Errorf("heard %+v", got)
+	}
+}
+
 func TestInstances(t *testing.T) {
 	d := &wire.Deployment{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
 	b, err := Instance{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -23,15 +24,17 @@
 )
 
 // Run serves clients until ctx ends, then answers what it holds and returns.
-func Run(ctx context.Context, c *Config) error {
+// Of a configuration that comes later, the addresses of discovery and of the
+// counter are taken; the rest needs a new start.
+func Run(ctx context.Context, c *Config, reloads <-chan Config) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, listener)
+	return serve(ctx, c, reloads, listener)
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener) error {
+func serve(ctx context.Context, c *Config, reloads <-chan Config, listener net.Listener) error {
 	clients := int(float64(c.Sockets-reserved) * clientShare)
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients)
 	var calls *counter
@@ -59,7 +62,25 @@
 		}
 		front.loop.post(news{l, kind})
 	})
-	wg.Go(func() { watch.run(inner) })
+	moves := make(chan string)
+	wg.Go(func() { watch.run(inner, moves) })
+	wg.Go(func() {
+		for {
+			select {
+			case <-inner.Done():
+				return
+			case next := <-reloads:
+				slog.Info("reloaded", "discovery", next.Discovery, "counter", next.Counter)
+				if calls != nil {
+					calls.move(next.Counter)
+				}
+				select {
+				case moves <- next.Discovery:
+				case <-inner.Done():
+				}
+			}
+		}
+	})
 	known := time.AfterFunc(knownAfter, func() {
 		if len(c.Known.Instances) > 0 {
 			front.ready.Store(true)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,7 +43,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, nil, l) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
