--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -32,6 +32,7 @@
 // result is what became of an attempt.
 type result struct {
 	outcome rules.Outcome
+	err     error       // why, where no whole answer came
 	header  http.Header // of a served answer
 	body    []byte
 }
@@ -48,6 +49,7 @@
 	ended    bool
 	outcome  rules.Outcome // once ended
 	took     float64
+	err      error
 
 	ctx    context.Context // of the dial
 	cancel context.CancelFunc
@@ -317,7 +319,7 @@
 func (p *pools) attempt(a *attempt) result {
 	c, err := p.conn(a.ctx, a.backend)
 	if err != nil {
-		return result{outcome: rules.ConnectFailed}
+		return result{outcome: rules.ConnectFailed, err: err}
 	}
 	if !a.hold(c) {
 		p.discard(c)
@@ -331,7 +333,7 @@
 	if err != nil {
 		a.release()
 		p.discard(c)
-		return result{outcome: rules.ConnectFailed}
+		return result{outcome: rules.ConnectFailed, err: err}
 	}
 	res, reuse := c.answer(a.x.method)
 	if a.release() && reuse {
@@ -365,7 +367,7 @@
 	for range mostInterim {
 		resp, err := http.ReadResponse(c.r, asked)
 		if err != nil {
-			return result{outcome: broken(err)}, false
+			return result{outcome: broken(err), err: err}, false
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
@@ -373,12 +375,12 @@
 		body, err := readBody(resp.Body, resp.ContentLength)
 		resp.Body.Close()
 		if err != nil {
-			return result{outcome: broken(err)}, false
+			return result{outcome: broken(err), err: err}, false
 		}
 		reuse := !resp.Close && c.r.Buffered() == 0
 		switch {
 		case resp.StatusCode == http.StatusOK:
-			return result{rules.Served, resp.Header, body}, reuse
+			return result{outcome: rules.Served, header: resp.Header, body: body}, reuse
 		case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 			resp.Header.Get(notRunHeader) == "1":
 			return result{outcome: rules.Full}, reuse
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -219,6 +220,7 @@
 		outcome, total, err := readTotal(r, asked)
 		if err != nil {
 			failed, outcome = true, rules.TimedOut
+			slog.Warn("counter: connection lost", "error", err, "calls_out", c.out.Load())
 			c.dead.Store(true)
 			c.Conn.Close()
 		}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -60,6 +60,8 @@
 
 	traced   int     // lines about single requests
 	tracedAt float64 // in the second from here on
+	lag      float64 // most that a timer came late since lagAt
+	lagAt    float64
 }
 
 func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
@@ -97,6 +99,7 @@
 		now := l.clock.now()
 		for len(l.timers) > 0 && (l.timers[0].at <= now || l.void(l.timers[0])) {
 			if t := heap.Pop(&l.timers).(timerEntry); !l.void(t) {
+				l.lagged(now - t.at)
 				l.due(t)
 			}
 		}
@@ -248,7 +251,7 @@
 	if a.ended {
 		return
 	}
-	a.ended, a.outcome, a.took = true, res.outcome, l.clock.now()-a.sent
+	a.ended, a.outcome, a.err, a.took = true, res.outcome, res.err, l.clock.now()-a.sent
 	x := a.x
 	x.out--
 	if res.outcome == rules.Served && x.open {
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -12,6 +12,10 @@
 // outage does not cost the gateway the time it needs for its work.
 const mostTraces = 10
 
+// worthTelling is the lag of a timer, in seconds, from which on the process had
+// too little of its core.
+const worthTelling = 0.02
+
 var outcomeNames = map[rules.Outcome]string{rules.Served: "served", rules.Errored: "error", rules.Full: "full",
 	rules.TimedOut: "timeout", rules.ConnectFailed: "no_connection", rules.Broken: "reset",
 	rules.Cancelled: "cancelled", rules.Moot: "moot"}
@@ -35,6 +39,9 @@
 		if a.ended {
 			fmt.Fprintf(&attempts, "+%.3f:%s", a.took, outcomeNames[a.outcome])
 		}
+		if a.err != nil {
+			fmt.Fprintf(&attempts, "(%v)", a.err)
+		}
 	}
 	slog.Info(what, "id", x.header.Get(idHeader), "class", l.deploy.ClassNames[x.ask.Class],
 		"plan", l.deploy.PlanNames[x.ask.Plan], "customer", uint64(x.ask.Customer), "units", x.ask.Units,
@@ -42,5 +49,17 @@
 		"took", round(now-x.ask.Sent), "attempts", attempts.String())
 }
 
+// lagged notes how late a timer came, and writes at most once a second how late
+// they have been.
+func (l *Loop) lagged(by float64) {
+	l.lag = max(l.lag, by)
+	now := l.clock.now()
+	if l.lag < worthTelling || now-l.lagAt < 1 {
+		return
+	}
+	slog.Warn("the loop was late", "most", round(l.lag), "inbox", len(l.inbox), "live", len(l.live))
+	l.lag, l.lagAt = 0, now
+}
+
 // round keeps milliseconds.
 func round(seconds float64) float64 { return float64(int(seconds*1000+0.5)) / 1000 }
