--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -98,7 +99,9 @@
 	r    *bufio.Reader     // on left
 	w    *bufio.Writer
 	home *target
-	idle time.Time // since when
+	idle time.Time     // since when
+	uses int           // requests so far
+	rest time.Duration // idle before the last use
 }
 
 // alive looks, without waiting, whether an idle connection still stands and has
@@ -273,6 +276,7 @@
 		c := t.idle[n-1]
 		t.idle = t.idle[:n-1]
 		if time.Since(c.idle) < p.idleLimit && alive(c.Conn) {
+			c.rest = time.Since(c.idle)
 			c.idle = time.Time{}
 			p.mu.Unlock()
 			return c, nil
@@ -335,7 +339,11 @@
 		p.discard(c)
 		return result{outcome: rules.ConnectFailed, err: err}
 	}
+	c.uses++
 	res, reuse := c.answer(a.x.method)
+	if res.err != nil {
+		res.err = fmt.Errorf("request %d after %v idle: %w", c.uses, c.rest, res.err)
+	}
 	if a.release() && reuse {
 		p.put(c)
 	} else {
