--- a/rules/rules.go
+++ b/rules/rules.go
@@ -874,17 +874,33 @@
 		return
 	}
 	c := k.customer
-	g.crowd -= crowdGain * g.crowd
+	unreached := e.Outcome == Errored || e.Outcome == Broken || e.Outcome == ConnectFailed
+	if !unreached {
+		g.crowd -= crowdGain * g.crowd
+	}
 	switch {
 	case k.slot && e.Outcome == Served && k.units > 0:
 		g.placed(c, k, e.Total)
+	case e.Outcome == Errored && !k.added && k.units > 0:
+		// What was asked for stands on the counter, and would be missing to all: its total is asked again.
+		k.added = true
+		g.count(k, nameKeep)
+		return
 	case e.Outcome != Served:
 		// Danger: a place that was not given back is missing to all gateways. A call turned away
 		// has changed nothing and is made again; one unanswered may have counted and is let be.
-		if e.Outcome != TimedOut && k.slot && k.name == c.slotName {
+		if (e.Outcome == Full || e.Outcome == ConnectFailed) && k.slot && k.name == c.slotName {
 			c.slots += int(max(-k.fill, 0))
 		}
-		g.crowd += crowdGain
+		if unreached && c.rest == 0 {
+			// A lost connection says nothing of a crowd: another call may be made at once, by the next
+			// request or by those that wait. A pause comes only after a second loss in a row.
+			c.rest = counterRest / 2
+			break
+		}
+		if !unreached {
+			g.crowd += crowdGain
+		}
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 		c.restTill = g.now + c.rest
 	case k.units > 0 && !k.slot:
--- a/rules/state.go
+++ b/rules/state.go
@@ -171,6 +171,7 @@
 	fill     float64 // refill that nobody has used, written off; places told or given back
 	units    float64 // asked for
 	slot     bool    // for places, not units
+	added    bool    // an earlier call has added this, and could not tell the total
 }
 
 // pending keeps count of the calls that are out.
@@ -253,7 +254,11 @@
 func (g *Gateway) count(k call, keep float64) {
 	g.calls[k.name] = append(g.calls[k.name], k)
 	k.customer.pending(k, 1)
-	g.do(Count{Name: k.name, Amount: k.owed + k.fill + k.units, Keep: keep})
+	amount := k.owed + k.fill + k.units
+	if k.added {
+		amount = 0
+	}
+	g.do(Count{Name: k.name, Amount: amount, Keep: keep})
 }
 
 // called takes the call that a reply answers off the list.
--- a/rules/types.go
+++ b/rules/types.go
@@ -223,7 +223,9 @@
 // Timer is a timer that is due.
 type Timer struct{ Token uint64 }
 
-// CounterReply answers one Count.
+// CounterReply answers one Count. Served tells the total. Errored says that the
+// amount was added and the total is not known, Full and ConnectFailed that nothing
+// was added, TimedOut and Broken that it may have been.
 type CounterReply struct {
 	Name    uint64
 	Outcome Outcome
