Give the units of idle leases back to the counter

A lease that ran out was dropped, but its units stayed on the counter as spent for the rest of a window of 50 s. The store looked empty while half of it and more was unused, and the gateways refused requests inside their quota.

The units of a lease that ran out now go back with the next lease or, where the store was last seen more than half taken, in a call at once.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,6 +30,7 @@
 	// Leases on the shared counter.
 	exactMost    = 5.0  // gateways that can keep the store of a customer exactly
 	windowLen    = 50.0 // seconds of an exact store's window; names live 60 s at most
+	lowStore     = 0.5  // part of the allowance that is taken, above which idle units go back at once
 	refundLeast  = 0.25 // of a unit; less is not worth a call
 	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
 	nameKeep     = 60.0 // seconds a name lives: longer than its window
@@ -614,9 +615,7 @@
 	g.tell()
 	keep := g.roster[:0]
 	for _, c := range g.roster {
-		if g.now >= c.expires {
-			c.units = min(c.units, 0) // nobody came for them; the next window makes up for it
-		}
+		g.expire(c)
 		g.leavePlaces(c)
 		if g.now-c.seen > idleDrop && c.open == 0 && c.inCalls == 0 && len(c.waiting) == 0 {
 			delete(g.customers, c.id)
@@ -813,6 +812,33 @@
 	return true
 }
 
+// expire ends an idle lease. Danger: units that nobody came for stand on the counter as if spent; left
+// there, they are missing to all gateways for the rest of the window. They go back with the next lease or,
+// where the store is low and others may wait for them, at once.
+func (g *Gateway) expire(c *customer) {
+	if g.now < c.expires || c.units <= 0 {
+		return
+	}
+	floor := g.roll(c)
+	if c.terms.exact && c.leased == c.window {
+		c.idle += c.units
+	}
+	c.units = 0
+	if c.idle >= 1 && c.known-floor > lowStore*c.terms.allowance && g.now >= c.restTill && !g.crowded(c) {
+		back := g.giveIdle(c)
+		g.count(call{customer: c, name: c.name, fill: -back}, nameKeep)
+	}
+}
+
+// giveIdle takes what goes back out of the books.
+func (g *Gateway) giveIdle(c *customer) (back float64) {
+	back, c.idle = c.idle, 0
+	if c.known > 0 {
+		c.known = max(c.known-back, 1e-3) // 0 would say that nothing is known
+	}
+	return back
+}
+
 // block is the size of the next lease: what the demand of a second needs, at first all of the share.
 func (c *customer) block() float64 {
 	if !c.met {
@@ -826,7 +852,7 @@
 func (g *Gateway) roll(c *customer) (floor float64) {
 	n := math.Floor(g.now/c.terms.window + c.phase())
 	if n != c.window {
-		c.window, c.known, c.owed, c.dryUntil = n, 0, 0, 0
+		c.window, c.known, c.owed, c.idle, c.dryUntil = n, 0, 0, 0, 0
 		c.name = hash(hash(uint64(c.id)) + uint64(int64(n)))
 	}
 	if c.terms.exact {
@@ -855,7 +881,7 @@
 	}
 	need = math.Ceil(need) + math.Floor(c.block()) // a unit that nobody comes for is missing to the others
 	floor := g.roll(c)
-	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed}
+	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed, back: g.giveIdle(c)}
 	k.units = max(min(need, c.terms.allowance), 1)
 	if k.fill = max(floor-c.known, 0); c.known == 0 {
 		// Danger: a window that is new to this gateway may be new to all. The call that starts it must
@@ -915,7 +941,7 @@
 func (g *Gateway) granted(c *customer, k call, total float64) {
 	before := total - k.fill - k.units
 	target := max(before, k.floor)
-	if before-k.owed < refundLeast { // the window is new, or the counter has lost it
+	if before-k.owed+k.back < refundLeast { // the window is new, or the counter has lost it
 		target = max(target, c.known, k.floor+c.terms.allowance-c.terms.spare)
 	}
 	unit := 1.0
@@ -931,6 +957,7 @@
 		}
 	}
 	c.units += grant
+	c.leased = k.window
 	if grant > 0 {
 		c.expires = g.now + leaseShare*c.terms.allowance/max(c.terms.rate, 1e-3)
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -610,6 +610,52 @@
 	}
 }
 
+// Units of a lease that ran out unused are in no gateway's hands: they must not stay spent on the counter.
+func TestIdleUnitsGoBackToTheCounter(t *testing.T) {
+	totals, id, customer := map[uint64]float64{}, RequestID(0), CustomerID(5)
+	var run func(d *drive, todo []Action) int
+	run = func(d *drive, todo []Action) (sent int) { // counts what is sent on
+		for _, a := range todo {
+			switch a := a.(type) {
+			case Send:
+				sent++
+				d.handle(AttemptEnd{Request: a.Request, Backend: a.Backend, Took: 0.1, Done: true})
+			case Count:
+				totals[a.Name] += a.Amount
+				sent += run(d, d.handle(CounterReply{Name: a.Name, Total: totals[a.Name]}))
+			}
+		}
+		return sent
+	}
+	ask := func(d *drive, n int) (sent int) {
+		for range n {
+			id++
+			sent += run(d, d.handle(Request{ID: id, Plan: 1, Units: 1, Gateways: 2, Customer: customer, Deadline: d.now + 2}))
+		}
+		return sent
+	}
+	busy, idle := start(t, testSettings(), some(4)...), start(t, testSettings(), some(4)...)
+	if n := ask(busy, 20) + ask(idle, 1); n != 21 { // of a burst of 40; the second holds the rest now
+		t.Fatalf("sent %d of 21", n)
+	}
+	busy.now, idle.now = 100.51, 100.51 // a lease lives a quarter of burst over rate, in which the store gains 10
+	run(idle, idle.handle(Timer{Token: timerHouse << 56}))
+	if n := ask(busy, 25); n != 25 {
+		t.Errorf("sent %d of 25 requests that the store has room for", n)
+	}
+	// While the store is not low they go back with the next lease.
+	customer = 6
+	ask(idle, 1)
+	idle.now += 0.51
+	run(idle, idle.handle(Timer{Token: timerHouse << 56}))
+	ask(idle, 1)
+	c := idle.g.customers[6]
+	floor := idle.g.roll(c)
+	if held := totals[c.name] - floor; held > 4 {
+		t.Errorf("%.1f units stand on the counter for one request and what came before", held)
+	}
+}
+
 func TestRequestIsNotHeldForACrowdedCounter(t *testing.T) {
 	d := start(t, testSettings(), some(4)...)
 	for i := range 3 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -143,6 +143,8 @@
 	open           int     // requests let in and not over, and further attempts
 	waiting        []*job  // highest level first
 	units, expires float64 // leased and not spent
+	leased         float64 // window of the last lease
+	idle           float64 // leased in this window, left over and not yet given back
 	window         float64 // number of the counter's window
 	name           uint64
 	known          float64 // the window's total as last seen
@@ -170,6 +172,7 @@
 	owed     float64 // spent already
 	fill     float64 // refill that nobody has used, written off; places told or given back
 	units    float64 // asked for
+	back     float64 // leased before and given back
 	slot     bool    // for places, not units
 	added    bool    // an earlier call has added this, and could not tell the total
 }
@@ -254,7 +257,7 @@
 func (g *Gateway) count(k call, keep float64) {
 	g.calls[k.name] = append(g.calls[k.name], k)
 	k.customer.pending(k, 1)
-	amount := k.owed + k.fill + k.units
+	amount := k.owed + k.fill + k.units - k.back
 	if k.added {
 		amount = 0
 	}
