Read the rest of a counter answer within a call's time, and take it as added

The lane waited 1 s for the rest while the calls behind it ran into their time-out of 80 ms: 53 of 53 time-outs of connections were of an answer that had begun ("calls_out" 1 to 6), and requests of all their customers then waited out pauses (no_lease, no_counter). Others are no HTTP or hold no number.

An answer that has begun now has a call's time-out for its rest, and one that cannot be read is reported as added without a total, as the terms say, so that the units asked for are not lost.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -139,6 +139,7 @@
 // not taken for the next call's.
 type counterConn struct {
 	net.Conn
+	timeout time.Duration // for the rest of an answer that has begun
 	host    string
 	dead    atomic.Bool
 	out     atomic.Int64 // calls without an answer
@@ -154,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), read: make(chan struct{})}
+	conn := &counterConn{Conn: nc, timeout: c.timeout, host: address, waiting: make(chan *call, mostCalls), read: make(chan struct{})}
 	c.readers.Go(conn.readAll)
 	return conn, nil
 }
@@ -223,9 +224,17 @@
 		}
 		left.N = mostCounterHead
 		c.SetReadDeadline(time.Now().Add(counterStuck))
-		outcome, total, err := readTotal(r, asked)
+		outcome, total, err := rules.TimedOut, 0.0, error(nil)
+		switch _, err = r.Peek(1); {
+		case err == nil:
+			// Danger: an answer that has begun comes whole or never, and all calls behind it wait.
+			c.SetReadDeadline(time.Now().Add(c.timeout))
+			outcome, total, err = readTotal(r, asked)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			outcome = rules.Broken
+		}
 		if err != nil {
-			failed, outcome = true, lost(err)
+			failed = true
 			slog.Warn("counter: connection lost", "error", err, "calls_out", c.out.Load())
 			c.dead.Store(true)
 			c.Conn.Close()
@@ -235,39 +244,27 @@
 	}
 }
 
-// errNoTotal says that a whole answer came in which there is no number. The
-// amount was added all the same.
-var errNoTotal = errors.New("no total")
-
-// lost tells what became of the call whose answer could not be read.
-func lost(err error) rules.Outcome {
-	switch {
-	case errors.Is(err, errNoTotal):
-		return rules.Errored
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return rules.TimedOut
-	}
-	return rules.Broken
-}
-
+// readTotal reads an answer that has begun, so the call has had its turn: where
+// no number can be read, and no other status, the amount was added all the same.
+// After an error the connection is of no further use.
 func readTotal(r *bufio.Reader, asked *http.Request) (rules.Outcome, float64, error) {
 	resp, err := http.ReadResponse(r, asked)
 	if err != nil {
-		return 0, 0, err
+		return rules.Errored, 0, fmt.Errorf("answer: %w", err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostTotal+1))
 	resp.Body.Close()
 	switch {
-	case err != nil:
-		return 0, 0, err
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		return rules.Full, 0, nil
+		return rules.Full, 0, err
 	case resp.StatusCode != http.StatusOK:
-		return rules.ConnectFailed, 0, nil
+		return rules.ConnectFailed, 0, err
+	case err != nil:
+		return rules.Errored, 0, fmt.Errorf("total: %w", err)
 	}
 	total, err := strconv.ParseFloat(strings.TrimSpace(string(body)), 64)
-	if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
-		return 0, 0, fmt.Errorf("%w in %.20q", errNoTotal, body)
+	if err != nil || math.IsNaN(total) || math.IsInf(total, 0) || len(body) > mostTotal {
+		return rules.Errored, 0, fmt.Errorf("total: %.20q is no number", body)
 	}
 	return rules.Served, total, nil
 }
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -17,8 +17,8 @@
 	total   float64
 }
 
-func startCounter(t *testing.T, address string) (c *counter, add func(amount float64) *call, replies chan reply) {
-	c = newCounter(address, patience)
+func startCounter(t *testing.T, address string, timeout time.Duration) (c *counter, add func(amount float64) *call, replies chan reply) {
+	c = newCounter(address, timeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { c.run(ctx) })
@@ -40,7 +40,7 @@
 
 func TestCounterPipeline(t *testing.T) {
 	far := newPeer(t)
-	_, add, replies := startCounter(t, far.address())
+	_, add, replies := startCounter(t, far.address(), patience)
 	late := add(1)
 	add(-2.5)
 	add(3)
@@ -95,11 +95,34 @@
 	}
 }
 
+// An answer that stays incomplete was added, and must not hold up the calls
+// behind it for longer than a call may take.
+func TestCounterAnswerCutShort(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n1", "\x00\x01garbage"} {
+		far := newPeer(t)
+		_, add, replies := startCounter(t, far.address(), 250*time.Millisecond)
+		add(1)
+		conn, r := far.accept(t)
+		readRequest(t, r)
+		conn.Write([]byte(text))
+		if got := wait(t, replies, "reply"); got.outcome != rules.Errored {
+			t.Errorf("%q: %v", text, got)
+		}
+		add(2)
+		conn, r = far.accept(t)
+		readRequest(t, r)
+		total(conn, 200, "3")
+		if got := wait(t, replies, "reply"); got != (reply{2, rules.Served, 3}) {
+			t.Errorf("the next call after %q: %v", text, got)
+		}
+	}
+}
+
 // Nothing was written, so nothing was added: the module may count on it.
 func TestCounterAway(t *testing.T) {
 	far := newPeer(t)
 	far.listener.Close()
-	_, add, replies := startCounter(t, far.address())
+	_, add, replies := startCounter(t, far.address(), patience)
 	add(1)
 	if got := wait(t, replies, "reply"); got.outcome != rules.ConnectFailed {
 		t.Errorf("reply %v", got)
@@ -161,7 +184,7 @@
 // is still answered, first: replies for one name come in the order of the calls.
 func TestCounterMoves(t *testing.T) {
 	old, next := newPeer(t), newPeer(t)
-	c, add, replies := startCounter(t, old.address())
+	c, add, replies := startCounter(t, old.address(), patience)
 	add(1)
 	conn, r := old.accept(t)
 	readRequest(t, r)
