Tell the module the true units of a served request

A request's units are a guess until its answer names what it took (X-Cost-Units), and the module settles the difference. The backend code never read the header, so on sockets, unlike in simulated time, leases and the customer's real store drifted apart.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -28,6 +29,7 @@
 	notRunHeader = "X-Unprocessed"
 	leftHeader   = "X-Time-Left-Ms"
 	loadHeader   = "X-Backend-Load"
+	costHeader   = "X-Cost-Units"
 )
 
 // result is what became of an attempt.
@@ -36,6 +38,7 @@
 	err     error       // why, where no whole answer came
 	header  http.Header // of a served answer
 	body    []byte
+	units   float64 // that the request really took from the quota; 0: not told
 }
 
 // attempt is one sending of a request to a backend. The loop owns all but what
@@ -388,7 +391,7 @@
 		reuse := !resp.Close && c.r.Buffered() == 0
 		switch {
 		case resp.StatusCode == http.StatusOK:
-			return result{outcome: rules.Served, header: resp.Header, body: body}, reuse
+			return result{outcome: rules.Served, header: resp.Header, body: body, units: trueUnits(resp.Header)}, reuse
 		case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 			resp.Header.Get(notRunHeader) == "1":
 			return result{outcome: rules.Full}, reuse
@@ -398,6 +401,16 @@
 	return result{outcome: rules.Errored}, false
 }
 
+// trueUnits reads what a request really took. The answer is the client's whatever
+// stands there, so what is no number of units counts as not told.
+func trueUnits(h http.Header) float64 {
+	units, err := strconv.ParseFloat(h.Get(costHeader), 64)
+	if err != nil || !(units > 0) || math.IsInf(units, 0) {
+		return 0
+	}
+	return units
+}
+
 // broken tells a time-out from a connection that ended.
 func broken(err error) rules.Outcome {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// The quota counts what a request really took: it must reach the module.
+func TestTrueUnits(t *testing.T) {
+	for text, want := range map[string]float64{"3": 3, "2.5": 2.5, "": 0, "x": 0, "NaN": 0, "inf": 0, "-1": 0} {
+		backend := newPeer(t)
+		done := start(poolFor(t, backend.address()), newAttempt(patience))
+		conn, r := backend.accept(t)
+		readRequest(t, r)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Cost-Units: %s\r\nContent-Length: 0\r\n\r\n", text)
+		if got := wait(t, done, "result"); got.outcome != rules.Served || got.units != want {
+			t.Errorf("%q: outcome %d, %v units; want %v", text, got.outcome, got.units, want)
+		}
+	}
+}
+
 func TestRequestUnchanged(t *testing.T) {
 	backend := newPeer(t)
 	p := poolFor(t, backend.address())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -251,6 +251,27 @@
 }
 
 // Work for a client that has left is wasted: its attempt is called off.
+// What a request really took is settled by the module, which must be told of it.
+func TestTrueUnitsAreSettled(t *testing.T) {
+	t.Parallel()
+	backend, count := newPeer(t), newPeer(t)
+	r := newRigWith(t, func(text string) string {
+		text = strings.Replace(text, "127.0.0.1:1\"", count.address()+"\"", 1)
+		text = strings.Replace(text, `"pays": 1}`, `"pays": 1, "unitsPerS": 0.001, "depth": 4}`, 1)
+		return strings.Replace(text, `"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 20, "truedUp": true`, 1)
+	}, backend)
+	_, first := r.client(t, ask("GET", "lookup", ""))
+	conn, calls := count.accept(t)
+	readRequest(t, calls)
+	total(conn, 200, "4") // of which two are spent now, and two are left
+	to, requests := backend.accept(t)
+	readRequest(t, requests)
+	io.WriteString(to, "HTTP/1.1 200 OK\r\nX-Cost-Units: 4\r\nContent-Length: 0\r\n\r\n")
+	wait(t, first, "answer")
+	r.client(t, ask("GET", "lookup", ""))
+	readRequest(t, calls) // the two that were left have gone to the first
+}
+
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -260,7 +260,7 @@
 		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
 	}
 	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
-		Took: a.took, Done: !x.open})
+		Took: a.took, Done: !x.open, Units: res.units})
 	l.drop(x)
 }
 
