Make a lost correction of the counter again where the total shows it missing

A block that does not fit is put right by a second call.

A correction whose connection was lost now asks for the total, and is made again if that is nearer to the one before. What a call should tell that was turned away, and so not added, goes with the next lease.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -826,7 +826,7 @@
 	c.units = 0
 	if c.idle >= 1 && c.known-floor > lowStore*c.terms.allowance && g.now >= c.restTill && !g.crowded(c) {
 		back := g.giveIdle(c)
-		g.count(call{customer: c, name: c.name, fill: -back}, nameKeep)
+		g.count(call{customer: c, name: c.name, window: c.window, fill: -back}, nameKeep)
 	}
 }
 
@@ -907,17 +907,28 @@
 	switch {
 	case k.slot && e.Outcome == Served && k.units > 0:
 		g.placed(c, k, e.Total)
-	case e.Outcome == Errored && !k.added && k.units > 0:
-		// What was asked for stands on the counter, and would be missing to all: its total is asked again.
+	case e.Outcome == Errored && !k.added && k.units > 0, e.Outcome == Broken && !k.added && k.puts:
+		// What stands on the counter though nobody has it is missing to all: its total is asked again.
 		k.added = true
 		g.count(k, nameKeep)
 		return
+	case e.Outcome == Served && k.added && k.puts:
+		if k.added = false; math.Abs(e.Total-k.base) < math.Abs(e.Total-k.base-k.fill) {
+			k.base = e.Total // it was not added
+			g.count(k, nameKeep)
+		}
 	case e.Outcome != Served:
 		// Danger: a place that was not given back is missing to all gateways. A call turned away
 		// has changed nothing and is made again; one unanswered may have counted and is let be.
 		if (e.Outcome == Full || e.Outcome == ConnectFailed) && k.slot && k.name == c.slotName {
 			c.slots += int(max(-k.fill, 0))
 		}
+		if (e.Outcome == Full || e.Outcome == ConnectFailed) && !k.slot && !k.added && k.window == c.window {
+			c.owed += k.owed // to be told with the next lease
+			if c.idle += k.back; k.units == 0 {
+				c.idle += max(-k.fill, 0)
+			}
+		}
 		if unreached && c.rest == 0 {
 			// A lost connection says nothing of a crowd: another call may be made at once, by the next
 			// request or by those that wait. A pause comes only after a second loss in a row.
@@ -966,7 +977,8 @@
 	}
 	c.met = true
 	if more := target + grant - total; c.terms.exact && math.Abs(more) > refundLeast*unit {
-		g.count(call{customer: c, name: k.name, fill: more}, nameKeep) // less, or what an emptied counter lost
+		// Less, or what an emptied counter lost.
+		g.count(call{customer: c, name: k.name, window: k.window, fill: more, puts: true, base: total}, nameKeep)
 	}
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -656,6 +656,44 @@
 	}
 }
 
+// A correction that was lost with its connection is made again, if the total shows that it was not added.
+func TestLostCorrectionIsMadeAgain(t *testing.T) {
+	for _, added := range []bool{false, true} {
+		d := start(t, testSettings(), some(4)...)
+		first := one[Count](t, d.handle(Request{ID: 1, Plan: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 2}))
+		// Another gateway has written off the same refill and taken 30 of the burst of 40, so 11 of the 21
+		// that were asked for are too many.
+		refill := first.Amount - 21
+		total := refill + 30 + first.Amount
+		excess := one[Count](t, d.handle(CounterReply{Name: first.Name, Total: total}))
+		if math.Abs(excess.Amount+refill+11) > 1e-6 {
+			t.Fatalf("gave %v back, want %v", -excess.Amount, refill+11)
+		}
+		if added {
+			total += excess.Amount
+		}
+		look := one[Count](t, d.handle(CounterReply{Name: excess.Name, Outcome: Broken}))
+		if look.Amount != 0 {
+			t.Fatalf("added %v without knowing the total", look.Amount)
+		}
+		again := find[Count](d.handle(CounterReply{Name: look.Name, Total: total}))
+		switch {
+		case added && len(again) > 0:
+			t.Errorf("given back twice: %v", again)
+		case !added && (len(again) != 1 || again[0].Amount != excess.Amount):
+			t.Errorf("not given back: %v", again)
+		}
+	}
+	// A call that was turned away has added nothing: what it should tell goes with the next.
+	d := start(t, testSettings(), some(4)...)
+	first := one[Count](t, d.handle(Request{ID: 1, Plan: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 2}))
+	excess := one[Count](t, d.handle(CounterReply{Name: first.Name, Total: 2*first.Amount + 9}))
+	d.handle(CounterReply{Name: excess.Name, Outcome: ConnectFailed})
+	if c := d.g.customers[5]; c.idle != -excess.Amount {
+		t.Errorf("%v units wait to go back, want %v", c.idle, -excess.Amount)
+	}
+}
+
 func TestRequestIsNotHeldForACrowdedCounter(t *testing.T) {
 	d := start(t, testSettings(), some(4)...)
 	for i := range 3 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -174,7 +174,9 @@
 	units    float64 // asked for
 	back     float64 // leased before and given back
 	slot     bool    // for places, not units
-	added    bool    // an earlier call has added this, and could not tell the total
+	added    bool    // an earlier call has added this or may have, and could not tell the total
+	puts     bool    // puts the total right, which
+	base     float64 // was this before
 }
 
 // pending keeps count of the calls that are out.
