Ask the counter for no more units than the store was last seen to hold

A customer near its quota asked for all that waits and a block, often ten times what the store held (6,600 units not granted beside 2,400 spent at one gateway of inc6848). Each excess cost a second call to give it back, and with a lost connection the whole of it was missing to the customer.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -882,6 +882,11 @@
 	need = math.Ceil(need) + math.Floor(c.block()) // a unit that nobody comes for is missing to the others
 	floor := g.roll(c)
 	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed, back: g.giveIdle(c)}
+	if c.terms.exact && c.known > 0 {
+		// What the store cannot hold would have to be put right in another call, or is lost with this one.
+		room := c.terms.allowance - max(c.known-floor, 0)
+		need = min(need, max(math.Floor(room), c.waiting[0].Units))
+	}
 	k.units = max(min(need, c.terms.allowance), 1)
 	if k.fill = max(floor-c.known, 0); c.known == 0 {
 		// Danger: a window that is new to this gateway may be new to all. The call that starts it must
@@ -925,9 +930,11 @@
 		}
 		if (e.Outcome == Full || e.Outcome == ConnectFailed) && !k.slot && !k.added && k.window == c.window {
 			c.owed += k.owed // to be told with the next lease
-			if c.idle += k.back; k.units == 0 {
-				c.idle += max(-k.fill, 0)
+			back := k.back
+			if k.units == 0 {
+				back = max(-k.fill, 0)
 			}
+			c.idle, c.known = c.idle+back, c.known+back
 		}
 		if unreached && c.rest == 0 {
 			// A lost connection says nothing of a crowd: another call may be made at once, by the next
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -694,6 +694,28 @@
 	}
 }
 
+// A block that the store cannot hold would cost a correction, and is lost whole with a broken call.
+func TestLeaseAsksForNoMoreThanTheStoreHolds(t *testing.T) {
+	d := start(t, testSettings(), some(4)...)
+	ask := func(id RequestID) []Action {
+		return d.handle(Request{ID: id, Plan: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 2})
+	}
+	first := one[Count](t, ask(1))
+	refill := first.Amount - 21
+	out := d.handle(CounterReply{Name: first.Name, Total: refill + 15 + first.Amount}) // of 40, another has taken 15
+	for _, c := range find[Count](out) {
+		d.handle(CounterReply{Name: c.Name, Total: refill + 36})
+	}
+	for id := RequestID(2); id <= 21; id++ { // the rest of the block
+		if n := len(find[Count](ask(id))); n > 0 {
+			t.Fatalf("request %d: %d calls", id, n)
+		}
+	}
+	if call := one[Count](t, ask(22)); call.Amount != 4 {
+		t.Errorf("asked for %v units of a store that holds 4", call.Amount)
+	}
+}
+
 func TestRequestIsNotHeldForACrowdedCounter(t *testing.T) {
 	d := start(t, testSettings(), some(4)...)
 	for i := range 3 {
