Give a request back that has no units by its aim

Requests of a class that earns something late waited for units up to their deadline, highest worth first.

A request that is not paid for is now given back when its aim can no longer be met; one that is paid for is held up to its deadline as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -158,7 +158,7 @@
 	}
 	g.timer(j.giveUp-g.now, timerEnd, 0, r.ID)
 	if len(j.attempts) == 0 {
-		g.timer(j.giveUp-g.now-g.latency, timerStart, 0, r.ID)
+		g.timer(min(j.giveUp, r.Sent+c.Aim)-g.latency-g.now, timerStart, 0, r.ID)
 	}
 }
 
@@ -190,6 +190,10 @@
 	case j == nil:
 	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
 		g.late(j, n)
+	case kind == timerStart && j.paid && len(j.attempts) == 0 && !j.done && g.now+g.latency < j.giveUp:
+		// Units are had, and a late answer earns more than none. Without them it would take them from a
+		// request that can still be in time: while units are scarce, one late request makes the next late.
+		g.timer(j.giveUp-g.now-g.latency, timerStart, 0, j.ID)
 	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
 		switch {
 		case len(j.attempts) > 0:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -716,6 +716,39 @@
 	}
 }
 
+// A request that is late already must take no scarce units from one that can still be in time; once paid for,
+// a late answer is worth having.
+func TestUnpaidRequestIsGivenBackAtItsAim(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].LateWorth, set.Classes[0].Deadline = 0.2, 10
+	d := start(t, set) // no backend: what is paid for is held
+	ask := func(id RequestID) (out []Action, startTimer SetTimer) {
+		out = d.handle(Request{ID: id, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 10})
+		for _, timer := range find[SetTimer](out) {
+			if timer.Token>>56 == timerStart {
+				startTimer = timer
+			}
+		}
+		return out, startTimer
+	}
+	out, paid := ask(1)
+	d.handle(CounterReply{Name: one[Count](t, out).Name, Total: 1})
+	d.g.customers[5].units = 0 // spent by others
+	out, unpaid := ask(2)
+	call := one[Count](t, out)
+	if math.Abs(paid.In-0.8) > 1e-6 || math.Abs(unpaid.In-0.8) > 1e-6 {
+		t.Fatalf("timers after %v and %v, want the aim", paid.In, unpaid.In)
+	}
+	d.now += 0.8
+	if again := one[SetTimer](t, d.handle(Timer{Token: paid.Token})); again.In < 9 {
+		t.Errorf("the paid request is looked at again after %v, want its deadline", again.In)
+	}
+	if r := one[Refuse](t, d.handle(Timer{Token: unpaid.Token})); r.Request != 2 {
+		t.Errorf("refused %d", r.Request)
+	}
+	d.handle(CounterReply{Name: call.Name, Outcome: TimedOut})
+}
+
 func TestRequestIsNotHeldForACrowdedCounter(t *testing.T) {
 	d := start(t, testSettings(), some(4)...)
 	for i := range 3 {
