Tell clients that are refused when to come back

A refusal carried Retry-After only where the settings' retryAfter was set, which it is not here, though the protocol lets any refusal carry it and clients that follow it would not ask again before there is room. The advice is the time until the customer's store or the counter may have something, and the longest that is heeded where the fleet is full.

--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -8,7 +8,7 @@
 
 // testSettings have no quotas, so that the tests here are about sockets alone.
 const testSettings = `{"fleetSize": 2, "rank": 1, "tickS": 0.002, "localities": ["a", "b"], "kinds": ["m"],
-	"allowed": {"cancel": true, "mostTries": 4, "connectTimeoutS": 5, "keepaliveS": 15, "retryAfter": true, "maxRetryAfterS": 0.5},
+	"allowed": {"cancel": true, "mostTries": 4, "connectTimeoutS": 5, "keepaliveS": 15, "retryAfter": false, "maxRetryAfterS": 0.5},
 	"obligations": {"answerSlackS": 0.01, "drainGraceS": 2},
 	"classes": [
 		{"name": "lookup", "objectiveS": 10, "deadlineS": 20, "points": 1, "effect": "repeatable"},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -18,7 +18,6 @@
 		MayDuplicate    bool    `json:"mayDuplicate"`
 		MostTries       int     `json:"mostTries"`
 		Probes          bool    `json:"probes"`
-		RetryAfter      bool    `json:"retryAfter"`
 	} `json:"allowed"`
 	Classes []struct {
 		AimStretch float64 `json:"aimStretch"`
@@ -163,7 +162,7 @@
 		UnitsSettled:   o.FamilyInfo.TruedUp,
 
 		CanCancel: o.Allowed.Cancel, CanProbe: o.Allowed.Probes, CanCopy: o.Allowed.MayDuplicate,
-		CanAdvise: o.Allowed.RetryAfter, MaxAdvice: o.Allowed.MaxRetryAfterS,
+		MaxAdvice:   o.Allowed.MaxRetryAfterS,
 		MaxAttempts: o.Allowed.MostTries, MaxOpen: o.Allowed.MaxOpen,
 		ConnectTimeout: o.Allowed.ConnectTimeoutS,
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -443,11 +443,10 @@
 func (g *Gateway) giveBack(j *job, why reason) {
 	g.given[why]++
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
-		advice := 0.0
-		if g.set.CanAdvise && j.paid {
-			advice = g.set.MaxAdvice
-		} else if g.set.CanAdvise {
-			advice = min(g.set.MaxAdvice, max(j.customer.dryUntil-g.now, 0))
+		// Clients that follow it come back when there may be room, and not before.
+		advice := g.set.MaxAdvice
+		if !j.paid {
+			advice = min(advice, max(j.customer.dryUntil-g.now, j.customer.restTill-g.now, 0))
 		}
 		g.do(Refuse{Request: j.ID, RetryAfter: advice})
 	} else {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -25,7 +25,7 @@
 			{Aim: 1, Deadline: 3, Worth: 3, Effect: ByKey, Scope: ScopeCell, DedupeWindow: 2}},
 		Plans: []Plan{{Price: 0.5, Rate: 2, Burst: 4, OverCost: 1}, {Price: 1.5, Rate: 20, Burst: 40, OverCost: 1}},
 		Fleet: 2, Tick: 0.002, Counter: true, CounterTimeout: 0.05,
-		CanCancel: true, CanCopy: true, CanAdvise: true, MaxAdvice: 0.5, MaxAttempts: 4, AnswerSlack: 0.008,
+		CanCancel: true, CanCopy: true, MaxAdvice: 0.5, MaxAttempts: 4, AnswerSlack: 0.008,
 		DrainGrace: 1, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, FallFor: 2,
 	}
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -98,9 +98,8 @@
 
 	CanCancel      bool
 	CanProbe       bool
-	CanCopy        bool // two attempts of a request may be out at once
-	CanAdvise      bool // clients are told how long to stay away
-	MaxAdvice      float64
+	CanCopy        bool    // two attempts of a request may be out at once
+	MaxAdvice      float64 // longest time that clients stay away when told to
 	MaxAttempts    int
 	MaxOpen        int
 	ConnectTimeout float64
