Let the few counter calls made in an outage stand for those left out

While the counter is silent nine calls in ten are left out. A call now weighs as many as it stands for.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -866,13 +866,16 @@
 
 // crowded leaves a call out, the more often the more of late have failed.
 func (g *Gateway) crowded(c *customer) bool {
-	if g.rng.Float64() >= min(crowdFactor*g.crowd, crowdMost) {
+	if g.rng.Float64() >= g.leftOut() {
 		return false
 	}
 	c.restTill = g.now + counterRest
 	return true
 }
 
+// leftOut is the share of calls that are not made, to give the counter air.
+func (g *Gateway) leftOut() float64 { return min(crowdFactor*g.crowd, crowdMost) }
+
 // lease asks for a block, and tells what has been spent from the local share in this window.
 func (g *Gateway) lease(c *customer) {
 	if g.crowded(c) {
@@ -909,8 +912,11 @@
 	}
 	c := k.customer
 	unreached := e.Outcome == Errored || e.Outcome == Broken || e.Outcome == ConnectFailed
+	// While calls are left out, each that is made stands for several. Counted as one, the few that are let
+	// through would take seconds to show that the counter is back.
+	gain := min(crowdGain/(1-g.leftOut()), 1)
 	if !unreached {
-		g.crowd -= crowdGain * g.crowd
+		g.crowd -= gain * g.crowd
 	}
 	switch {
 	case k.slot && e.Outcome == Served && k.units > 0:
@@ -946,7 +952,7 @@
 			break
 		}
 		if !unreached {
-			g.crowd += crowdGain
+			g.crowd += gain
 		}
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 		c.restTill = g.now + c.rest
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -494,6 +494,27 @@
 }
 
 // A connection that breaks tells of no crowd: calls go on, and the request that waits is asked for again.
+// The few calls that are made in an outage of the counter must be enough to show its end.
+func TestCallsAreMadeAgainSoonAfterAnOutageOfTheCounter(t *testing.T) {
+	d := start(t, testSettings(), some(8)...)
+	calls := func(how Outcome, requests int) (n int) {
+		for range requests {
+			d.now += 0.01
+			d.nextID++
+			out := d.handle(Request{ID: d.nextID, Units: 1, Gateways: 2, Customer: CustomerID(d.nextID), Deadline: d.now + 2})
+			for _, c := range find[Count](out) {
+				n++
+				d.handle(CounterReply{Name: c.Name, Outcome: how, Total: c.Amount})
+			}
+		}
+		return n
+	}
+	calls(TimedOut, 400)
+	if n := calls(Served, 400); n < 280 {
+		t.Errorf("%d calls for 400 customers after the counter was back", n)
+	}
+}
+
 func TestBrokenCallIsMadeAgainAtOnce(t *testing.T) {
 	d := start(t, testSettings(), some(4)...)
 	for i := range 20 {
