--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -1,5 +1,5 @@
 // Elderyard is one gateway on real sockets. EDGE_CONFIG names its
-// configuration; SIGHUP makes it read that again, SIGTERM answer what it holds
+// configuration, EDGE_CONTROL the address where operators call; SIGHUP makes it read that again, SIGTERM answer what it holds
 // and end.
 package main
 
@@ -44,6 +44,9 @@
 	if err != nil {
 		return err
 	}
+	if address := os.Getenv("EDGE_CONTROL"); address != "" {
+		c.Control = address // of this process; two may run side by side
+	}
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -14,6 +14,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -149,15 +150,16 @@
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
+	tries          *atomic.Int64
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
 	open    int // connections and dials
 }
 
-func newPools(connectTimeout, keepAlive time.Duration, mostOpen int) *pools {
+func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, tries *atomic.Int64) *pools {
 	return &pools{connectTimeout: connectTimeout, idleLimit: max(keepAlive-idleMargin, keepAlive/2),
-		mostOpen: mostOpen, targets: map[rules.BackendID]*target{}}
+		mostOpen: mostOpen, tries: tries, targets: map[rules.BackendID]*target{}}
 }
 
 // update tells where a ready backend is. A new start or address retires the
@@ -342,6 +344,7 @@
 		p.discard(c)
 		return result{outcome: rules.ConnectFailed, err: err}
 	}
+	p.tries.Add(1)
 	c.uses++
 	res, reuse := c.answer(a.x.method)
 	if res.err != nil {
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 }
 
 func poolFor(t *testing.T, address string) *pools {
-	p := newPools(patience, time.Minute, 8)
+	p := newPools(patience, time.Minute, 8, new(atomic.Int64))
 	p.update(1, address, 0)
 	t.Cleanup(func() { p.remove(1) })
 	return p
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,6 +20,7 @@
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
+	Control   string // where operators call; empty where they do not
 	Discovery string
 	Counter   string // empty where the deployment has none
 	Seed      uint64
@@ -51,8 +52,8 @@
 
 func parseConfig(text []byte) (Config, error) {
 	var raw struct {
-		Name, Listen, Discovery, Counter, Seed string
-		Limits                                 struct {
+		Name, Listen, Control, Discovery, Counter, Seed string
+		Limits                                          struct {
 			Cores    float64 `json:"cores"`
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
@@ -66,7 +67,7 @@
 	if raw.Settings == nil {
 		return Config{}, errors.New("no settings")
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Counter: raw.Counter,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Control: raw.Control, Discovery: raw.Discovery, Counter: raw.Counter,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
 	var err error
 	if c.Deployment, err = wire.ParseDeployment(raw.Settings); err != nil {
@@ -84,6 +85,9 @@
 	if c.Settings.Counter {
 		addresses["counter"] = c.Counter
 	}
+	if c.Control != "" {
+		addresses["control"] = c.Control
+	}
 	for key, address := range addresses {
 		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
 			return fmt.Errorf("%s: %q is not an address with a port", key, address)
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	controlConns = 16 // callers at once, part of the reserved descriptors
+	// Callers wait 1 s. One that has said nothing by then waits no longer, and
+	// its place is needed.
+	controlRead  = 900 * time.Millisecond
+	controlWrite = 2 * time.Second
+)
+
+// control answers the operators, one call to a connection.
+type control struct {
+	figures *figures
+	ready   func() bool
+	byHand  func(id string, offline bool) error
+}
+
+func (c *control) server() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !c.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		c.figures.write(w)
+	})
+	s := &http.Server{Handler: mux, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: controlRead,
+		ReadTimeout: controlRead, WriteTimeout: controlWrite}
+	s.SetKeepAlivesEnabled(false)
+	return s
+}
+
+// listenControl opens the operators' address.
+func listenControl(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return netutil.LimitListener(l, controlConns), nil
+}
--- /dev/null
+++ b/internal/gateway/control_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// operate makes one call to the operators' address.
+func (r *rig) operate(t *testing.T, method, path string) (int, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: control\r\n\r\n", method, path)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !resp.Close {
+		t.Errorf("%s %s: %v, connection closed %t", method, path, err, resp.Close)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// tells waits until the figures hold all of the lines.
+func (r *rig) tells(t *testing.T, lines ...string) {
+	t.Helper()
+	text := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		_, text = r.operate(t, "GET", "/control/counters")
+		missing := false
+		for _, line := range lines {
+			missing = missing || !strings.Contains("\n"+text, "\n"+line+"\n")
+		}
+		if !missing {
+			return
+		}
+	}
+	t.Fatalf("figures never held %q:\n%s", lines, text)
+}
+
+func TestFigures(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	r.tells(t, "app.handled.booking.passed:0|c", "app.known_backends:1|g", "app.skipped_backends:0|g", "app.loads:0|c")
+	_, first := r.client(t, ask("POST", "booking", "x"))
+	conn, br := backend.accept(t)
+	readRequest(t, br)
+	r.tells(t, "app.in_progress:1|g", "app.upstream_tries:1|c")
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wait(t, first, "answer")
+	_, second := r.client(t, ask("POST", "payment", "x"))
+	readRequest(t, br)
+	conn.Close() // it may have run
+	wait(t, second, "answer")
+	r.tells(t, "app.handled.booking.passed:1|c", "app.handled.payment.bad_gateway:1|c", "app.handled.lookup.passed:0|c",
+		"app.handled.payment.dropped:0|c", "app.in_progress:0|g", "app.upstream_tries:2|c")
+	backend.listener.Close()
+	_, third := r.client(t, ask("GET", "glance", ""))
+	wait(t, third, "answer")
+	r.tells(t, "app.handled.glance.dropped:1|c", "app.upstream_tries:2|c")
+}
+
+// Callers that finish no call must not keep others waiting.
+func TestControlWithSilentCallers(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newPeer(t))
+	for range controlConns / 2 {
+		c, err := net.Dial("tcp", r.control)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	for _, call := range []struct {
+		method, path string
+		status       int
+	}{
+		{"GET", "/control/ready", 200},
+		{"GET", "/control/counters", 200},
+		{"POST", "/control/counters", 405},
+		{"GET", "/control/other", 404},
+	} {
+		if status, _ := r.operate(t, call.method, call.path); status != call.status {
+			t.Errorf("%s %s: status %d, want %d", call.method, call.path, status, call.status)
+		}
+	}
+	r.stop()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if status, _ := r.operate(t, "GET", "/control/ready"); status == http.StatusServiceUnavailable {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("still ready after the stop")
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"linnetbend/internal/wire"
 	"linnetbend/rules"
 )
 
@@ -53,6 +52,11 @@
 	// reply takes the one final answer; the loop sends it and never waits.
 	reply chan answer
 
+	service *service // that it was read under, and in it
+	class   *rules.Class
+	counts  *classCounts
+	plan    string
+
 	// The loop's own:
 	queued   float64 // seconds until the loop took it in
 	open     bool    // the final answer has not been given
@@ -71,7 +75,7 @@
 // frontend serves clients.
 type frontend struct {
 	loop      *Loop
-	deploy    *wire.Deployment
+	service   atomic.Pointer[service]
 	ready     atomic.Bool
 	leaving   atomic.Bool // connections are closed after their answer
 	mostConns int         // above it, connections are closed after their answer
@@ -91,6 +95,9 @@
 	return s
 }
 
+// takesClients is what "ready" means to the platform and to operators.
+func (f *frontend) takesClients() bool { return f.ready.Load() && !f.leaving.Load() }
+
 func (f *frontend) connState(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,7 +144,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath {
-		if !f.ready.Load() || f.leaving.Load() {
+		if !f.takesClients() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -167,12 +174,13 @@
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*exchange, int, error) {
 	now := f.loop.clock.now()
 	x := &exchange{method: r.Method, uri: r.RequestURI, host: r.Host, reply: make(chan answer, 1)}
-	ask, err := f.parse(r)
+	x.service = f.service.Load()
+	ask, err := x.service.parse(r)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	x.ask = ask
-	class := &f.deploy.Classes[ask.Class]
+	class := &x.service.Classes[ask.Class]
+	x.ask, x.class, x.counts, x.plan = ask, class, x.service.counts[ask.Class], x.service.PlanNames[ask.Plan]
 	switch key := r.Header.Get(keyHeader); {
 	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
 		class.Effect != rules.Repeatable && r.Method != http.MethodPost:
@@ -203,20 +211,20 @@
 // parse reads the headers that the decisions need. Nothing has a default: a
 // request that is not understood might be charged to the wrong customer or
 // repeated against its class.
-func (f *frontend) parse(r *http.Request) (rules.Request, error) {
+func (s *service) parse(r *http.Request) (rules.Request, error) {
 	var q rules.Request
 	h := r.Header
 	if id := h.Get(idHeader); id == "" || len(id) > mostName {
 		return q, errors.New(idHeader + " is missing or too long")
 	}
 	class := h.Get(classHeader)
-	if q.Class = slices.Index(f.deploy.ClassNames, class); q.Class < 0 {
+	if q.Class = slices.Index(s.ClassNames, class); q.Class < 0 {
 		return q, errors.New(classHeader + " names no class")
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(r.RequestURI, "//") {
 		return q, errors.New("the path is not one of the class")
 	}
-	if q.Plan = slices.Index(f.deploy.PlanNames, h.Get(planHeader)); q.Plan < 0 {
+	if q.Plan = slices.Index(s.PlanNames, h.Get(planHeader)); q.Plan < 0 {
 		return q, errors.New(planHeader + " names no plan")
 	}
 	customer := h.Get(clientHeader)
@@ -231,11 +239,11 @@
 	}
 	q.Deadline = float64(left) / 1000 // from when it is whole
 	q.Repeat = h.Get(repeatHeader) == "1"
-	return q, f.terms(&q, h.Get(termsHeader))
+	return q, s.terms(&q, h.Get(termsHeader))
 }
 
 // terms reads the units of a request and the gateways of its customer.
-func (f *frontend) terms(q *rules.Request, text string) error {
+func (s *service) terms(q *rules.Request, text string) error {
 	for part := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		var err error
@@ -251,12 +259,12 @@
 			return fmt.Errorf("%s: %s is not a number", termsHeader, key)
 		}
 	}
-	most := f.deploy.MaxUnits
+	most := s.MaxUnits
 	if most <= 0 {
 		most = math.MaxInt32
 	}
-	if !(q.Units > 0 && q.Units <= most) || q.Gateways < 1 || q.Gateways > f.deploy.Fleet ||
-		q.FirstPeer < 0 || q.FirstPeer >= f.deploy.Fleet {
+	if !(q.Units > 0 && q.Units <= most) || q.Gateways < 1 || q.Gateways > s.Fleet ||
+		q.FirstPeer < 0 || q.FirstPeer >= s.Fleet {
 		return errors.New(termsHeader + ": units, spread or first is missing or out of range")
 	}
 	return nil
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -41,8 +41,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &frontend{deploy: &deploy, fresh: map[net.Conn]struct{}{}, mostConns: 100,
+	f := &frontend{fresh: map[net.Conn]struct{}{}, mostConns: 100,
 		loop: &Loop{clock: newClock(), inbox: make(chan any, 1), stopped: make(chan struct{})}}
+	f.service.Store((&figures{}).service(deploy))
 	p := newPipes()
 	server := f.server(time.Minute)
 	ended := make(chan struct{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	reserved    = 64                     // descriptors for the counter, discovery and the runtime
+	reserved    = 64                     // descriptors for the counter, discovery, control and the runtime
 	clientShare = 0.55                   // of the other descriptors, for clients; backends get the rest
 	softShare   = 0.8                    // of the clients' part; above it connections close after an answer
 	knownAfter  = 3 * time.Second        // without discovery, the list known from before has to do
@@ -27,22 +27,32 @@
 // Of a configuration that comes later, the addresses of discovery and of the
 // counter are taken; the rest needs a new start.
 func Run(ctx context.Context, c *Config, reloads <-chan Config) error {
+	var operators net.Listener
+	if c.Control != "" {
+		var err error
+		if operators, err = listenControl(c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		defer operators.Close()
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, reloads, listener)
+	return serve(ctx, c, reloads, listener, operators)
 }
 
-func serve(ctx context.Context, c *Config, reloads <-chan Config, listener net.Listener) error {
+func serve(ctx context.Context, c *Config, reloads <-chan Config, listener, operators net.Listener) error {
 	clients := int(float64(c.Sockets-reserved) * clientShare)
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients)
+	told := &figures{}
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients, &told.tries)
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{deploy: &c.Deployment, fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
-	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
+	front := &frontend{fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
+	front.service.Store(told.service(c.Deployment))
+	front.loop = newLoop(c, front.service.Load(), told, pools, calls, func() { front.ready.Store(true) })
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -90,8 +100,13 @@
 
 	server := front.server(longest(c))
 	limited := netutil.LimitListener(listener, clients)
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	wg.Go(func() { failed <- server.Serve(limited) })
+	if operators != nil {
+		call := (&control{figures: told, ready: front.takesClients}).server()
+		wg.Go(func() { failed <- call.Serve(operators) })
+		defer call.Close() // they may call until the end
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("clients: %w", err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 // rig is a whole gateway between loopback sockets.
 type rig struct {
 	address  string
+	control  string
 	registry *registry
 	stop     context.CancelFunc
 	ended    chan error
@@ -40,10 +41,15 @@
 		t.Fatal(err)
 	}
 	r.address = l.Addr().String()
+	operators, err := listenControl("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.control = operators.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, nil, l) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, nil, l, operators) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"linnetbend/internal/wire"
 	"linnetbend/rules"
 )
 
@@ -41,7 +40,8 @@
 // in order; it runs the module's actions and waits for no socket.
 type Loop struct {
 	clock    clock
-	deploy   *wire.Deployment
+	service  *service
+	figures  *figures
 	gateway  *rules.Gateway
 	pools    *pools
 	counter  *counter
@@ -64,8 +64,8 @@
 	lagAt    float64
 }
 
-func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
-	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
+func newLoop(c *Config, s *service, f *figures, p *pools, k *counter, onListed func()) *Loop {
+	l := &Loop{clock: newClock(), service: s, figures: f, pools: p, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{}}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
@@ -116,6 +116,7 @@
 	case clientGone:
 		if m.x.open {
 			m.x.open = false
+			l.figures.inProgress.Add(-1)
 			l.trace(m.x, "client left")
 			l.handle(rules.ClientGone{Request: m.x.ask.ID})
 			l.drop(m.x)
@@ -145,7 +146,8 @@
 
 // arrive gives a request an id of its own and hands it to the module.
 func (l *Loop) arrive(x *exchange) {
-	if l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
+	if l.service.MaxOpen > 0 && len(l.live) >= l.service.MaxOpen {
+		x.counts.dropped.Add(1)
 		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
 		return
 	}
@@ -154,6 +156,7 @@
 	}
 	x.ask.ID, x.open, x.queued = l.nextID, true, l.clock.now()-x.ask.Sent
 	l.live[x.ask.ID] = x
+	l.figures.inProgress.Add(1)
 	l.handle(x.ask)
 }
 
@@ -163,7 +166,7 @@
 	ev := rules.Backends{Kind: kind}
 	kept := map[rules.BackendID]bool{}
 	for _, i := range told.Instances {
-		b, err := i.backend(l.deploy)
+		b, err := i.backend(&l.service.Deployment)
 		if err != nil {
 			log.Printf("discovery: %v", err)
 			continue
@@ -210,7 +213,7 @@
 		case rules.SetTimer:
 			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
-			l.count(a)
+			l.call(a)
 		case rules.Log:
 			log.Print(a.Text)
 		case rules.Subscribe: // the watch always runs
@@ -233,7 +236,7 @@
 	a.until = l.clock.at(a.deadline)
 	x.attempts = append(x.attempts, a)
 	x.out++
-	if !x.open || a.number >= max(l.deploy.MaxAttempts, 1) || a.deadline <= now {
+	if !x.open || a.number >= max(l.service.MaxAttempts, 1) || a.deadline <= now {
 		l.endAttempt(a, result{outcome: rules.Moot})
 		return
 	}
@@ -285,11 +288,19 @@
 		return
 	}
 	x.open = false
-	switch {
-	case a.status != http.StatusOK:
+	l.figures.inProgress.Add(-1)
+	switch a.status {
+	case http.StatusOK:
+		x.counts.passed.Add(1)
+		if l.clock.now()-x.ask.Sent > x.class.Aim {
+			l.trace(x, "served late")
+		}
+	case http.StatusTooManyRequests:
+		x.counts.dropped.Add(1)
+		l.trace(x, "not served")
+	default:
+		x.counts.badGateway.Add(1)
 		l.trace(x, "not served")
-	case l.clock.now()-x.ask.Sent > l.deploy.Classes[x.ask.Class].Aim:
-		l.trace(x, "served late")
 	}
 	x.reply <- a // it has room for one, and one is all it gets
 	l.drop(x)
@@ -302,7 +313,14 @@
 	}
 }
 
-func (l *Loop) count(c rules.Count) {
+// count takes the module's own figures.
+func (l *Loop) count() {
+	known, skipped := l.gateway.Listed()
+	l.figures.known.Store(int64(known))
+	l.figures.skipped.Store(int64(skipped))
+}
+
+func (l *Loop) call(c rules.Count) {
 	k := &call{name: c.Name, amount: c.Amount, sent: l.clock.now(),
 		keep: min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)}
 	k.report = func(k *call, o rules.Outcome, total float64) { l.post(callDone{k, o, total}) }
@@ -310,7 +328,7 @@
 		l.endCall(k, rules.Full, 0)
 		return
 	}
-	l.timers.add(timerEntry{at: k.sent + l.deploy.CounterTimeout, call: k})
+	l.timers.add(timerEntry{at: k.sent + l.service.CounterTimeout, call: k})
 }
 
 func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
@@ -345,6 +363,9 @@
 		l.endCall(t.call, rules.TimedOut, 0)
 	default:
 		l.handle(rules.Timer{Token: t.token})
+		if t.request == 0 { // housekeeping, as often as what the module avoids may change
+			l.count()
+		}
 	}
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -43,8 +43,8 @@
 			fmt.Fprintf(&attempts, "(%v)", a.err)
 		}
 	}
-	slog.Info(what, "id", x.header.Get(idHeader), "class", l.deploy.ClassNames[x.ask.Class],
-		"plan", l.deploy.PlanNames[x.ask.Plan], "customer", uint64(x.ask.Customer), "units", x.ask.Units,
+	slog.Info(what, "id", x.header.Get(idHeader), "class", x.counts.name,
+		"plan", x.plan, "customer", uint64(x.ask.Customer), "units", x.ask.Units,
 		"repeat", x.ask.Repeat, "left", round(x.ask.Deadline-x.ask.Sent), "queued", round(x.queued),
 		"took", round(now-x.ask.Sent), "attempts", attempts.String())
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -244,6 +244,20 @@
 	return s
 }
 
+// Listed counts the backends on the list, and those of them that get no requests now.
+func (g *Gateway) Listed() (known, skipped int) {
+	for _, s := range g.list {
+		if s.State == Gone {
+			continue
+		}
+		known++
+		if s.State != Ready || s.ejected() {
+			skipped++
+		}
+	}
+	return known, skipped
+}
+
 // forget drops backends that are gone and have nothing in flight.
 func (g *Gateway) forget() {
 	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
