--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -185,9 +185,24 @@
 		// What is out at an earlier life will never be answered.
 		p.retire(old, old.born < born)
 	}
+	p.targets[id] = newTarget(address, born)
+}
+
+func newTarget(address string, born float64) *target {
 	t := &target{address: address, born: born, conns: map[*backendConn]struct{}{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
-	p.targets[id] = t
+	return t
+}
+
+// renew ends the dials and idle connections to a backend, as remove does, and
+// keeps its address.
+func (p *pools) renew(id rules.BackendID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.targets[id]; t != nil {
+		p.retire(t, false)
+		p.targets[id] = newTarget(t.address, t.born)
+	}
 }
 
 // remove ends all new sending to a backend that drains or is gone, dials that
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -20,7 +20,7 @@
 type control struct {
 	figures *figures
 	ready   func() bool
-	byHand  func(id string, offline bool) error
+	byHand  func(id string, offline bool) (known bool)
 }
 
 func (c *control) server() *http.Server {
@@ -34,6 +34,13 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		c.figures.write(w)
 	})
+	for word, offline := range map[string]bool{"offline": true, "online": false} {
+		mux.HandleFunc("POST /control/backends/{id}/"+word, func(w http.ResponseWriter, r *http.Request) {
+			if !c.byHand(r.PathValue("id"), offline) {
+				http.Error(w, "no such backend", http.StatusNotFound)
+			}
+		})
+	}
 	s := &http.Server{Handler: mux, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: controlRead,
 		ReadTimeout: controlRead, WriteTimeout: controlWrite}
 	s.SetKeepAlivesEnabled(false)
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -106,3 +106,41 @@
 		}
 	}
 }
+
+// A backend that is out gets nothing, whatever discovery says, and a single call
+// brings it back.
+func TestByHand(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	wait(t, r.registry.calls, "first list")
+	wait(t, r.registry.calls, "watch")
+	path := "/control/backends/" + backend.address()
+	for _, call := range []struct {
+		path   string
+		status int
+	}{{"/control/backends/none/offline", 404}, {"/control/backends/none/online", 404}, {path + "/online", 200},
+		{path + "/offline", 200}, {path + "/offline", 200}} {
+		if status, _ := r.operate(t, "POST", call.path); status != call.status {
+			t.Errorf("%s: status %d, want %d", call.path, status, call.status)
+		}
+	}
+	r.tells(t, "app.known_backends:1|g", "app.skipped_backends:1|g")
+	for _, state := range []string{"Gone", "Ready"} {
+		r.registry.answers <- listing(false, state, backend)
+		wait(t, r.registry.calls, "next watch") // shows that the last one was heard
+	}
+	_, refused := r.client(t, ask("GET", "glance", ""))
+	if resp := wait(t, refused, "answer"); resp.StatusCode != 429 || len(backend.conns) != 0 {
+		t.Errorf("status %d, %d connections to the backend that is out", resp.StatusCode, len(backend.conns))
+	}
+	if status, _ := r.operate(t, "POST", path+"/online"); status != 200 {
+		t.Errorf("online: status %d", status)
+	}
+	_, served := r.client(t, ask("GET", "lookup", ""))
+	serveOne(t, backend, "ok")
+	if resp := wait(t, served, "answer"); resp.StatusCode != 200 {
+		t.Errorf("status %d once it is back", resp.StatusCode)
+	}
+	r.tells(t, "app.skipped_backends:0|g")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	failed := make(chan error, 2)
 	wg.Go(func() { failed <- server.Serve(limited) })
 	if operators != nil {
-		call := (&control{figures: told, ready: front.takesClients}).server()
+		call := (&control{figures: told, ready: front.takesClients, byHand: front.loop.byHand}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
 		defer call.Close() // they may call until the end
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync"
@@ -31,6 +32,11 @@
 		outcome rules.Outcome
 		total   float64
 	}
+	byHand struct {
+		id      string
+		offline bool
+		known   chan<- bool // has room for one
+	}
 	retuned struct{ service *service }
 	news    struct {
 		listing Listing
@@ -85,6 +91,19 @@
 	}
 }
 
+// byHand hands on an operator's word and waits until the module has it.
+func (l *Loop) byHand(id string, offline bool) (known bool) {
+	done := make(chan bool, 1)
+	if !l.post(byHand{id, offline, done}) {
+		return false
+	}
+	select {
+	case known = <-done:
+	case <-l.stopped:
+	}
+	return known
+}
+
 // run works until ctx ends.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
@@ -127,6 +146,8 @@
 		l.endAttempt(m.a, m.result)
 	case callDone:
 		l.endCall(m.k, m.outcome, m.total)
+	case byHand:
+		m.known <- l.ban(m.id, m.offline)
 	case retuned:
 		l.service = m.service
 		l.handle(rules.Retune{Settings: m.service.Settings})
@@ -179,6 +200,22 @@
 	return x.ask.Plan >= 0
 }
 
+// ban carries out an operator's word. Connections follow it before the module
+// hears of it: a dial that waits must not become an attempt.
+func (l *Loop) ban(id string, offline bool) (known bool) {
+	b := backendID(id)
+	if name, listed := l.names[b]; listed && name != id || !l.gateway.Knows(b) {
+		return false
+	}
+	if offline {
+		l.pools.renew(b)
+	}
+	l.handle(rules.ByHand{Backend: b, Offline: offline})
+	l.count()
+	slog.Info("by hand", "backend", id, "offline", offline)
+	return true
+}
+
 // list takes in what discovery told. Connections follow it before the module
 // hears of it.
 func (l *Loop) list(told Listing, kind rules.ListKind) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -115,6 +115,8 @@
 		g.counted(e)
 	case Backends:
 		g.backends(e)
+	case ByHand:
+		g.byHand(e)
 	case Retune:
 		// Leases, backends, the bound and what is open live on. Requests hold on to their class.
 		worths := g.worths
@@ -263,7 +265,7 @@
 	usable, sick := 0, 0
 	for _, s := range g.list {
 		busy := func(a attempt) bool { return a.on == s && !a.ended }
-		if s.State != Ready || !j.inGroup(s) || !g.coldRoom(s) || slices.ContainsFunc(j.attempts, busy) {
+		if !s.usable() || !j.inGroup(s) || !g.coldRoom(s) || slices.ContainsFunc(j.attempts, busy) {
 			continue
 		}
 		s.cost = g.cost(s, j)
@@ -328,11 +330,11 @@
 }
 
 // send starts an attempt; nothing else does. It holds the rules on effects, on attempts out at once and on
-// drains, whoever asks.
+// drains and bans, whoever asks.
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
 	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
-	if j.done || j.streams || !j.paid || s.State != Ready || !j.inGroup(s) || stale ||
+	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || stale ||
 		tries >= min(j.mostTries, max(g.set.MaxAttempts, 1)) || j.out > 0 && !g.set.CanCopy {
 		return false
 	}
@@ -597,6 +599,28 @@
 	}
 }
 
+// usable tells whether s may get requests at all.
+func (s *server) usable() bool { return s.State == Ready && !s.banned }
+
+// byHand takes a backend out, or back in. Danger: while out it is restarted, and discovery tells of that
+// late. So it counts as started when it comes back, unless it is known to have started later.
+func (g *Gateway) byHand(e ByHand) {
+	s := g.servers[e.Backend]
+	if s == nil || s.banned == e.Offline {
+		return
+	}
+	if s.banned = e.Offline; !s.banned {
+		s.Born = max(s.Born, g.now)
+		s.anew(g.now)
+	}
+}
+
+// anew forgets what was learnt of an earlier process.
+func (s *server) anew(now float64) {
+	s.latency, s.fail, s.missed, s.trialGap = 0, 0, 0, 0
+	s.budget, s.budgetedAt = 0, now
+}
+
 // house keeps averages and leases in order.
 func (g *Gateway) house() {
 	g.timer(houseGap, timerHouse, 0, 0)
@@ -606,7 +630,7 @@
 	g.forget()
 	for _, s := range g.list {
 		g.lay(s, 0)
-		if s.State == Ready && g.warmth(s) >= 1 {
+		if s.usable() && g.warmth(s) >= 1 {
 			warm++
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1085,3 +1085,54 @@
 		t.Errorf("sent %d more times", n)
 	}
 }
+
+// A ban and what discovery says are kept apart, and who comes back is cold.
+func TestBanByHand(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].Rate = 0
+	d := start(t, set, some(2)...)
+	d.handle(ByHand{Backend: 1, Offline: true})
+	sends := func() (n int) {
+		for range 20 {
+			d.ask(0, 1, 1)
+			for _, s := range find[Send](d.last) {
+				if s.Backend == 1 {
+					n++
+				}
+				d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Outcome: Served})
+			}
+		}
+		return n
+	}
+	for _, e := range []Event{ByHand{Backend: 1, Offline: true}, Backends{Kind: FullList, Entries: some(2)},
+		Backends{Kind: Delta, Entries: []Backend{{ID: 1, State: Gone}}}, Timer{Token: timerHouse << 56},
+		Backends{Kind: Delta, Entries: []Backend{ready(1)}}} {
+		if d.handle(e); sends() != 0 {
+			t.Fatalf("sent to a banned backend after %+v", e)
+		}
+	}
+	if known, skipped := d.g.Listed(); known != 2 || skipped != 1 {
+		t.Errorf("%d known, %d skipped", known, skipped)
+	}
+	if d.g.Knows(3) || !d.g.Knows(1) {
+		t.Error("who is known is wrong")
+	}
+	d.handle(ByHand{Backend: 1})
+	if w := d.g.warmth(d.g.servers[1]); w != set.ColdFrom {
+		t.Errorf("warmth %f on return", w)
+	}
+	if n := sends(); n > 1 {
+		t.Errorf("%d sends at once to a cold backend", n)
+	}
+	d.now += 2 * set.ColdFor
+	if sends() == 0 {
+		t.Error("nothing sent to a backend that is back and warm")
+	}
+	// What discovery says holds as well.
+	d.handle(ByHand{Backend: 1, Offline: true})
+	d.handle(Backends{Kind: Delta, Entries: []Backend{{ID: 1, State: Draining}}})
+	d.handle(ByHand{Backend: 1})
+	if sends() != 0 {
+		t.Error("the call back undid a drain")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -103,6 +103,7 @@
 // server is what this gateway knows of one backend.
 type server struct {
 	Backend
+	banned             bool  // by hand
 	levels             []int // own attempts in flight by level
 	inFlight           int
 	ghosts             []ghost
@@ -294,6 +295,12 @@
 	return s
 }
 
+// Knows tells whether a backend is on the list, or was when it was banned.
+func (g *Gateway) Knows(id BackendID) bool {
+	s := g.servers[id]
+	return s != nil && (s.State != Gone || s.banned)
+}
+
 // Listed counts the backends on the list, and those of them that get no requests now.
 func (g *Gateway) Listed() (known, skipped int) {
 	for _, s := range g.list {
@@ -301,17 +308,17 @@
 			continue
 		}
 		known++
-		if s.State != Ready || s.ejected() {
+		if !s.usable() || s.ejected() {
 			skipped++
 		}
 	}
 	return known, skipped
 }
 
-// forget drops backends that are gone and have nothing in flight.
+// forget drops backends that are gone and have nothing in flight. A ban outlives what discovery says.
 func (g *Gateway) forget() {
 	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
-		gone := s.State == Gone && s.inFlight == 0
+		gone := s.State == Gone && s.inFlight == 0 && !s.banned
 		if gone {
 			delete(g.servers, s.ID)
 		}
--- a/rules/types.go
+++ b/rules/types.go
@@ -243,7 +243,15 @@
 // are open keep the class they came with.
 type Retune struct{ Settings Settings }
 
+// ByHand takes a backend out of use, or back into it, at an operator's word. It
+// stands beside what discovery says, and neither undoes the other.
+type ByHand struct {
+	Backend BackendID
+	Offline bool
+}
+
 func (Backends) event()     {}
+func (ByHand) event()       {}
 func (Retune) event()       {}
 func (Request) event()      {}
 func (Established) event()  {}
