Upgrade beside the running process: inherited socket, books handed over, calls to both

The second process ended, as the address was taken. Now both serve on the inherited socket; the new one has the old one's bans, backends and half of its leases before it says yes, and each acts on its share of the bound, the cold allowance and local shares.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -47,6 +47,9 @@
 	if address := os.Getenv("EDGE_CONTROL"); address != "" {
 		c.Control = address // of this process; two may run side by side
 	}
+	if c.Inherited = os.Getenv("EDGE_FD"); c.Inherited != "" {
+		c.HandoverDir = os.Getenv("TMPDIR")
+	}
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
--- a/cmd/elderyard/main_test.go
+++ b/cmd/elderyard/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -55,7 +57,7 @@
 func config(discovery string) string {
 	return `{"name": "n0", "listen": "127.0.0.1:0", "discovery": "` + discovery +
 		`", "seed": "1", "limits": {"cores": 1, "memory_mb": 64, "sockets": 256},
-		"settings": {"fleetSize": 1, "tickS": 0.002, "allowed": {"mostTries": 3, "connectTimeoutS": 1, "keepaliveS": 15},
+		"settings": {"fleetSize": 1, "localities": ["a"], "kinds": ["m"], "tickS": 0.002, "allowed": {"mostTries": 3, "connectTimeoutS": 1, "keepaliveS": 15},
 		"classes": [{"name": "c", "objectiveS": 1, "deadlineS": 2}], "packages": [{"name": "p"}]}}`
 }
 
@@ -116,3 +118,108 @@
 		t.Errorf("ended with %v, saying %q", err, stderr)
 	}
 }
+
+// process starts the command with the clients' socket as descriptor 3, and tells
+// where operators call it.
+func process(t *testing.T, listener *os.File, dir, discovery string) (cmd *exec.Cmd, stderr *bytes.Buffer, control string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // for a port that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	control = l.Addr().String()
+	l.Close()
+	cmd, stderr, _ = command(t, strings.Replace(config(discovery), `"seed"`, `"control": "`+control+`", "seed"`, 1))
+	cmd.ExtraFiles = []*os.File{listener}
+	cmd.Env = append(cmd.Env, "EDGE_FD=3", "TMPDIR="+dir)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, stderr, control
+}
+
+// until asks until the answer holds the text.
+func until(t *testing.T, url, text string) {
+	t.Helper()
+	got := ""
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		resp, err := http.Get(url)
+		if err != nil {
+			continue // it does not listen yet
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if got = resp.Status + "\n" + string(body); strings.Contains(got, text) {
+			return
+		}
+	}
+	t.Fatalf("%s never answered %q, but %q", url, text, got)
+}
+
+// A second process takes over from the first while clients come, and knows what
+// the first was told by hand. One that is killed leaves the first its gateway.
+func TestUpgrade(t *testing.T) {
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, `{"generation": 1, "reset": true, "instances": [
+			{"instanceId": "s-1", "hostPort": "127.0.0.1:1", "zone": "a", "machineType": "m", "lifecycle": "Ready", "weight": 1}]}`)
+	}))
+	defer discovery.Close()
+	address := strings.TrimPrefix(discovery.URL, "http://")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	listener, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dir := t.TempDir()
+	ready := func(control string) { until(t, "http://"+control+"/control/ready", "200 OK") }
+
+	old, said, control := process(t, listener, dir, address)
+	ready(control)
+	resp, err := http.Post("http://"+control+"/control/backends/s-1/offline", "", nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("offline: %v %v", resp, err)
+	}
+	killed, _, failing := process(t, listener, dir, address)
+	ready(failing)
+	killed.Process.Kill()
+	killed.Wait()
+	next, _, nextControl := process(t, listener, dir, address)
+	ready(nextControl)
+	until(t, "http://"+nextControl+"/control/counters", "app.skipped_backends:1|g")
+
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- old.Wait() }()
+	clients := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for asking := true; asking; {
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("the old process ended with %v, saying %q", err, said)
+			}
+			asking = false
+		default:
+		}
+		resp, err := clients.Get("http://" + l.Addr().String() + "/health/ready")
+		if err != nil {
+			t.Fatalf("a client met a closed door: %v", err)
+		}
+		resp.Body.Close()
+	}
+	if err := next.Process.Signal(syscall.Signal(0)); err != nil {
+		t.Errorf("the new process: %v", err)
+	}
+	until(t, "http://"+nextControl+"/control/counters", "app.skipped_backends:1|g")
+}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -162,6 +162,13 @@
 		mostOpen: mostOpen, tries: tries, targets: map[rules.BackendID]*target{}}
 }
 
+// keep sets how many connections there may be.
+func (p *pools) keep(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mostOpen = most
+}
+
 // retune takes new limits for what is opened or kept from now on.
 func (p *pools) retune(connectTimeout, keepAlive time.Duration) {
 	p.mu.Lock()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -29,6 +29,11 @@
 	MemoryMB  int
 	Sockets   int // file descriptors
 	Known     Listing
+
+	// Of the environment, where the platform lets two processes of a gateway serve
+	// side by side:
+	Inherited   string // descriptor of the clients' socket
+	HandoverDir string // where the processes meet
 	wire.Deployment
 
 	document any // the file as it was read
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -20,7 +20,7 @@
 type control struct {
 	figures *figures
 	ready   func() bool
-	byHand  func(id string, offline bool) (known bool)
+	byHand  func(id string, offline bool) (known bool, err error)
 }
 
 func (c *control) server() *http.Server {
@@ -36,7 +36,10 @@
 	})
 	for word, offline := range map[string]bool{"offline": true, "online": false} {
 		mux.HandleFunc("POST /control/backends/{id}/"+word, func(w http.ResponseWriter, r *http.Request) {
-			if !c.byHand(r.PathValue("id"), offline) {
+			switch known, err := c.byHand(r.PathValue("id"), offline); {
+			case err != nil:
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			case !known:
 				http.Error(w, "no such backend", http.StatusNotFound)
 			}
 		})
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -121,11 +121,18 @@
 	}
 }
 
+// keep sets how many connections may be kept open after their answer.
+func (f *frontend) keep(most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mostConns = most
+}
+
 // crowded tells whether clients should make do with fewer connections.
 func (f *frontend) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.conns <= f.mostConns {
+	if f.conns <= f.mostConns || f.leaving.Load() {
 		return false
 	}
 	if now := time.Now(); now.Sub(f.toldAt) >= crowdTellGap {
@@ -162,6 +169,9 @@
 	}
 	select {
 	case a := <-x.reply:
+		if f.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		a.write(w)
 	case <-r.Context().Done():
 		f.loop.post(clientGone{x})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,18 +9,19 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"linnetbend/rules"
 )
 
 const (
-	reserved    = 64                     // descriptors for the counter, discovery, control and the runtime
-	clientShare = 0.55                   // of the other descriptors, for clients; backends get the rest
-	softShare   = 0.8                    // of the clients' part; above it connections close after an answer
-	knownAfter  = 3 * time.Second        // without discovery, the list known from before has to do
-	stayFor     = 600 * time.Millisecond // new connections still come so long after a stop was asked for
-	stopMargin  = 500 * time.Millisecond // for the last answers after the longest deadline
+	reserved    = 64                      // descriptors for the counter, discovery, control and the runtime
+	clientShare = 0.55                    // of the other descriptors, for clients; backends get the rest
+	softShare   = 0.8                     // of the clients' part; above it connections close after an answer
+	knownAfter  = 3 * time.Second         // without discovery, the list known from before has to do
+	stayFor     = 600 * time.Millisecond  // new connections still come so long after a stop was asked for
+	stayIdle    = 2200 * time.Millisecond // and so long a connection may stand idle then, where another process serves
+	leastHeld   = 3 * time.Second         // a stop has at least this time
+	stopMargin  = 500 * time.Millisecond  // for the last answers after the longest deadline
+	answerTime  = 100 * time.Millisecond  // of that, for their way to the client
 )
 
 // Run serves clients until ctx ends, then answers what it holds and returns.
@@ -36,7 +37,7 @@
 		}
 		defer operators.Close()
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := listenClients(c.Listen, c.Inherited)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
@@ -44,23 +45,50 @@
 }
 
 func serve(ctx context.Context, c *Config, reloads <-chan Reload, listener, operators net.Listener) error {
-	clients := int(float64(c.Sockets-reserved) * clientShare)
-	told := &figures{}
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients, &told.tries)
+	clients, backends := split(c.Sockets - reserved)
+	var figures figures
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, &figures.tries)
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
 	front := &frontend{fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
-	front.service.Store(told.service(c.Deployment))
-	front.loop = newLoop(c, front.service.Load(), told, pools, calls, func() { front.ready.Store(true) })
+	front.service.Store(figures.service(c.Deployment))
+	front.loop = newLoop(c, front.service.Load(), &figures, pools, calls, func() { front.ready.Store(true) })
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
+	limited := newLimitListener(listener, clients)
+	pair := &handover{loop: front.loop, oldest: make(chan struct{}), paired: func(paired bool) {
+		clients, backends := split(c.Sockets - reserved)
+		if paired { // the descriptors are those of both
+			clients, backends = split(c.Sockets/2 - reserved/2)
+		}
+		limited.limit(clients)
+		front.keep(int(softShare * float64(clients)))
+		pools.keep(backends)
+	}}
 	front.loop.list(c.Known, rules.CachedList)
+	if c.HandoverDir != "" {
+		before, err := pair.join(ctx, c.HandoverDir)
+		if err != nil {
+			slog.Error("starting without books", "error", err)
+		}
+		if before != nil {
+			front.loop.adopt(before)
+			slog.Info("books taken", "backends", len(before.Rules.Backends), "customers", len(before.Rules.Customers))
+			front.ready.Store(len(before.Listing.Instances) > 0)
+		}
+		wg.Go(func() {
+			if err := pair.serve(inner, c.HandoverDir); err != nil {
+				slog.Error("no later process can take over", "error", err)
+			}
+		})
+		defer pair.close()
+	}
 	wg.Go(func() { front.loop.run(inner) })
 	wg.Go(func() { pools.sweep(inner) })
 	if calls != nil {
@@ -87,14 +115,14 @@
 					r.Err = inForce.lacks(next)
 				}
 				if r.Err != nil {
-					told.loadErrors.Add(1)
+					figures.loadErrors.Add(1)
 					slog.Error("not reloaded", "error", r.Err)
 					continue
 				}
-				told.loads.Add(1)
+				figures.loads.Add(1)
 				slog.Info("reloaded", "discovery", next.Discovery, "counter", next.Counter,
 					"deployment", fmt.Sprintf("%+v", next.Deployment))
-				in := told.service(next.Deployment)
+				in := figures.service(next.Deployment)
 				pools.retune(seconds(next.ConnectTimeout), seconds(next.KeepAlive))
 				front.loop.post(retuned{in})
 				front.service.Store(in) // the loop knows it before any request that is read under it
@@ -118,12 +146,11 @@
 	})
 	defer known.Stop()
 
-	server := front.server(longest(c))
-	limited := netutil.LimitListener(listener, clients)
-	failed := make(chan error, 2)
+	server := front.server(longest(front))
+	failed := make(chan error, 2) // one for each server
 	wg.Go(func() { failed <- server.Serve(limited) })
 	if operators != nil {
-		call := (&control{figures: told, ready: front.takesClients, byHand: front.loop.byHand}).server()
+		call := (&control{figures: &figures, ready: front.takesClients, byHand: pair.byHand}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
 		defer call.Close() // they may call until the end
 	}
@@ -132,18 +159,36 @@
 		return fmt.Errorf("clients: %w", err)
 	case <-ctx.Done():
 	}
-	return shutdown(c, front, server)
+	return shutdown(front, server, limited, pair)
+}
+
+// split divides descriptors between clients and backends.
+func split(sockets int) (clients, backends int) {
+	clients = int(float64(sockets) * clientShare)
+	return clients, sockets - clients
 }
 
 // shutdown takes what still comes for a while, answers what is held, and ends.
-// Danger: a request may cross the closing of its idle connection; its client
-// then sends it again on a new one. So idle connections go at once, while new
-// ones are still taken, and the listener goes later.
-func shutdown(c *Config, front *frontend, server *http.Server) error {
+//
+// Danger: a request may cross the closing of its idle connection. Without a
+// process to take over, its client sends it again on a new connection, so idle
+// connections go at once, while new ones are still taken, and the listener goes
+// later. With one, new connections are its own, and those that stand here go
+// after their next answer, or once nothing has come on them for longer than
+// clients keep still.
+func shutdown(front *frontend, server *http.Server, listener net.Listener, pair *handover) error {
+	most := max(longest(front), leastHeld)
+	end := time.Now().Add(most + stopMargin)
+	front.loop.post(told{rules.Leave{Until: front.loop.clock.now() + (most + stopMargin - answerTime).Seconds()}})
 	front.leaving.Store(true)
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(stayFor)
-	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-stayFor)
+	if pair.leave() {
+		listener.Close()
+		time.Sleep(stayIdle)
+	} else {
+		server.SetKeepAlivesEnabled(false)
+		time.Sleep(stayFor)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		server.Close()
@@ -153,12 +198,13 @@
 }
 
 // longest is how long a request may be held.
-func longest(c *Config) time.Duration {
+func longest(front *frontend) time.Duration {
+	s := front.service.Load()
 	most := 0.0
-	for _, class := range c.Classes {
+	for _, class := range s.Classes {
 		most = max(most, class.Deadline)
 	}
-	return seconds(most + c.AnswerSlack)
+	return seconds(most + s.AnswerSlack)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,358 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"linnetbend/rules"
+)
+
+const (
+	handoverName = "handover.sock"
+	joinTimeout  = 2 * time.Second // for the books; the platform waits 6 s for a new process
+	joinRetry    = 20 * time.Millisecond
+	passTimeout  = 700 * time.Millisecond // for the other's word on a call, of which the caller waits 1 s
+)
+
+// books is what one process of a gateway leaves to the next.
+type books struct {
+	Listing Listing
+	Plans   []string // the customers' books go by their numbers
+	Rules   rules.Books
+}
+
+// note is one line between two processes of a gateway.
+type note struct {
+	Join    bool   `json:",omitempty"` // new to old: the books, please
+	Books   *books `json:",omitempty"` // old to new
+	Leaving bool   `json:",omitempty"` // old to new: no more clients are taken
+	Call    *word  `json:",omitempty"` // an operator's
+	Said    *word  `json:",omitempty"` // the answer to one
+}
+
+// word is an operator's, or the answer to it.
+type word struct {
+	Number  int
+	ID      string
+	Offline bool
+	Known   bool
+}
+
+// link is the connection to the other process of this gateway.
+type link struct {
+	conn net.Conn
+	in   *json.Decoder
+
+	mu    sync.Mutex
+	out   *json.Encoder
+	next  int
+	calls map[int]chan bool // words that are out
+}
+
+func newLink(conn net.Conn) *link {
+	return &link{conn: conn, in: json.NewDecoder(conn), out: json.NewEncoder(conn), calls: map[int]chan bool{}}
+}
+
+func (l *link) send(n note) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn.SetWriteDeadline(time.Now().Add(passTimeout)) // one that has stalled must hold up nobody
+	return l.out.Encode(n)
+}
+
+var errNoWord = errors.New("the other process did not answer")
+
+// pass hands an operator's word on and waits for the answer.
+func (l *link) pass(id string, offline bool) (known bool, err error) {
+	done := make(chan bool, 1)
+	l.mu.Lock()
+	l.next++
+	number := l.next
+	l.calls[number] = done
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.calls, number)
+	}()
+	if err := l.send(note{Call: &word{Number: number, ID: id, Offline: offline}}); err != nil {
+		return false, err
+	}
+	patience := time.NewTimer(passTimeout)
+	defer patience.Stop()
+	select {
+	case known, ok := <-done:
+		if !ok {
+			return false, errNoWord
+		}
+		return known, nil
+	case <-patience.C:
+		return false, errNoWord
+	}
+}
+
+func (l *link) answered(w word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if done := l.calls[w.Number]; done != nil {
+		done <- w.Known
+		delete(l.calls, w.Number)
+	}
+}
+
+// handover keeps this process and the one before or after it one gateway.
+type handover struct {
+	loop   *Loop
+	paired func(bool)    // half of the descriptors, or all
+	oldest chan struct{} // closed once no process came before this one
+
+	mu     sync.Mutex
+	other  *link // nil: there is none
+	heir   bool  // the other is the newer
+	ended  bool
+	hearer sync.WaitGroup
+}
+
+// join asks the process before for its books, if there is one, and again while
+// that still has the end of another to notice. It returns nil where there is
+// none, or it has nothing to say.
+func (h *handover) join(ctx context.Context, dir string) (*books, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	for {
+		b, err := h.ask(ctx, dir)
+		switch {
+		case err == nil && b == nil:
+			close(h.oldest)
+			return nil, nil
+		case err == nil:
+			return b, nil
+		}
+		select {
+		case <-time.After(joinRetry):
+		case <-ctx.Done():
+			close(h.oldest)
+			return nil, fmt.Errorf("the process before: %w", err)
+		}
+	}
+}
+
+func (h *handover) ask(ctx context.Context, dir string) (*books, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "unix", filepath.Join(dir, handoverName))
+	if err != nil {
+		return nil, nil // nobody there; a file may be left of one that is gone
+	}
+	l := newLink(conn)
+	var n note
+	end, _ := ctx.Deadline()
+	conn.SetReadDeadline(end)
+	if err = l.send(note{Join: true}); err == nil {
+		err = l.in.Decode(&n)
+	}
+	if err == nil && n.Books == nil {
+		err = errors.New("no books")
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Time{})
+	h.take(l, false)
+	return n.Books, nil
+}
+
+// take makes l the connection to the other process and listens on it until it
+// ends. It returns false where there is another already.
+func (h *handover) take(l *link, heir bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.other != nil || h.ended {
+		return false
+	}
+	h.other, h.heir = l, heir
+	h.paired(true)
+	h.hearer.Go(func() { h.hear(l) })
+	return true
+}
+
+// hear takes what the other process says until one of the two ends.
+func (h *handover) hear(l *link) {
+	for {
+		var n note
+		if err := l.in.Decode(&n); err != nil {
+			break
+		}
+		switch {
+		case n.Call != nil:
+			n.Call.Known = h.loop.byHand(n.Call.ID, n.Call.Offline)
+			l.send(note{Said: n.Call})
+		case n.Said != nil:
+			l.answered(*n.Said)
+		case n.Leaving:
+			h.loop.post(told{rules.Leaving})
+		}
+	}
+	l.conn.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l.mu.Lock()
+	for _, done := range l.calls {
+		close(done)
+	}
+	clear(l.calls)
+	l.mu.Unlock()
+	if h.other = nil; !h.ended {
+		slog.Info("the other process has ended", "it was the newer", h.heir)
+		h.paired(false)
+		h.loop.post(told{rules.Absent})
+		if !h.heir {
+			close(h.oldest)
+		}
+	}
+	h.heir = false
+}
+
+// serve gives the books to the process after this one, until ctx ends. Its file
+// takes the place of that of the process before in one step, once that one has
+// ended: should this one end first, the next must find the old one. What a dead
+// process left is replaced likewise.
+func (h *handover) serve(ctx context.Context, dir string) error {
+	select {
+	case <-h.oldest:
+	case <-ctx.Done():
+		return nil
+	}
+	path := filepath.Join(dir, handoverName+"."+strconv.Itoa(os.Getpid()))
+	os.Remove(path)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	l.SetUnlinkOnClose(false) // by then the name may be that of the next process
+	if err := os.Rename(path, filepath.Join(dir, handoverName)); err != nil {
+		l.Close()
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if err := h.give(conn); err != nil {
+			slog.Error("books not handed over", "error", err)
+			conn.Close() // which its reader, if it has one, takes for the other's end
+		}
+	}
+}
+
+// give hands the books over to a process that asks for them.
+func (h *handover) give(conn net.Conn) error {
+	l := newLink(conn)
+	conn.SetReadDeadline(time.Now().Add(joinTimeout))
+	var n note
+	if err := l.in.Decode(&n); err != nil {
+		return err
+	}
+	if !n.Join {
+		return errors.New("it did not ask for them")
+	}
+	conn.SetReadDeadline(time.Time{})
+	// Danger: a word of an operator must miss neither process. One that comes from
+	// here on goes to both, and to the new one after the books.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !h.take(l, true) {
+		return errors.New("this process has another beside it, or ends")
+	}
+	written := make(chan books, 1)
+	if !h.loop.post(join{written}) {
+		return errors.New("this process has ended")
+	}
+	select {
+	case b := <-written:
+		conn.SetWriteDeadline(time.Now().Add(passTimeout))
+		if err := l.out.Encode(note{Books: &b}); err != nil {
+			return err
+		}
+	case <-h.loop.stopped:
+		return errors.New("this process has ended")
+	}
+	slog.Info("books handed over")
+	return nil
+}
+
+// byHand tells both processes an operator's word. It is true to say yes only
+// once both have it.
+func (h *handover) byHand(id string, offline bool) (known bool, err error) {
+	known = h.loop.byHand(id, offline)
+	h.mu.Lock()
+	other := h.other
+	h.mu.Unlock()
+	if other == nil {
+		return known, nil
+	}
+	theirs, err := other.pass(id, offline)
+	if err != nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.other != other {
+			return known, nil // it has ended, and needs to know no more
+		}
+		return false, err
+	}
+	return known || theirs, nil
+}
+
+// leave tells the other process that this one takes no more clients. It returns
+// whether that one takes them.
+func (h *handover) leave() bool {
+	h.mu.Lock()
+	other, heir := h.other, h.heir
+	h.mu.Unlock()
+	return other != nil && heir && other.send(note{Leaving: true}) == nil
+}
+
+// close ends the connection to the other process and waits for its reader.
+func (h *handover) close() {
+	h.mu.Lock()
+	h.ended = true
+	if h.other != nil {
+		h.other.conn.Close()
+	}
+	h.mu.Unlock()
+	h.hearer.Wait()
+}
+
+// adopt takes the books of the process before, which the loop does before it runs.
+func (l *Loop) adopt(b *books) {
+	l.list(b.Listing, rules.CachedList)
+	if !slices.Equal(b.Plans, l.service.PlanNames) {
+		b.Rules.Customers = nil // the numbers mean other plans
+	}
+	l.handle(rules.Adopt{Books: b.Rules})
+}
+
+// handOver writes the books.
+func (l *Loop) handOver() books {
+	l.handle(rules.HandOver{})
+	b := books{Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver}
+	l.handedOver = rules.Books{}
+	for _, i := range l.instances {
+		b.Listing.Instances = append(b.Listing.Instances, i)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// newPair starts two gateways on one listening socket, the second beside the
+// first, which has an idle connection of a client.
+func newPair(t *testing.T, backend *peer) (old, next *rig, kept net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	// What a process left that was killed does no harm.
+	if err := os.WriteFile(filepath.Join(dir, handoverName), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	old = newRigOn(t, l, dir, backend)
+	kept, answers := old.client(t, ask("GET", "lookup", "", idHeader, ""))
+	wait(t, answers, "answer") // an error, which leaves the connection open
+	return old, newRigOn(t, l, dir, backend), kept
+}
+
+// newRigOn starts a gateway as one process of several with the given socket.
+func newRigOn(t *testing.T, shared net.Listener, dir string, backends ...*peer) *rig {
+	t.Helper()
+	r := &rig{registry: newRegistry(t), ended: make(chan error, 1), address: shared.Addr().String()}
+	c, err := parseConfig([]byte(configText(r.registry.address(), testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.HandoverDir = dir
+	f, err := shared.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operators, err := listenControl("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.control = operators.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	done := make(chan struct{})
+	go func() { defer close(done); r.ended <- serve(ctx, &c, nil, l, operators) }()
+	t.Cleanup(func() { stop(); <-done })
+	wait(t, r.registry.calls, "list")
+	r.registry.answers <- listing(true, "Ready", backends...)
+	wait(t, r.registry.calls, "watch")
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if status, _ := r.operate(t, "GET", "/control/ready"); status == http.StatusOK {
+			return r
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+}
+
+// An operator's word to either process holds in both, and a ban from before the
+// second process as well.
+func TestWordsReachBothProcesses(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dir := t.TempDir()
+	old := newRigOn(t, l, dir, backend)
+	path := "/control/backends/" + backend.address()
+	say := func(r *rig, word string) {
+		t.Helper()
+		if status, _ := r.operate(t, "POST", path+word); status != http.StatusOK {
+			t.Errorf("%s: status %d", word, status)
+		}
+	}
+	say(old, "/offline")
+	next := newRigOn(t, l, dir, backend)
+	next.tells(t, "app.skipped_backends:1|g")
+	say(next, "/online")
+	old.tells(t, "app.skipped_backends:0|g")
+	say(old, "/offline")
+	next.tells(t, "app.skipped_backends:1|g")
+	next.stop() // a new process that ends leaves the old one its gateway
+	if err := wait(t, next.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	say(old, "/online")
+	old.tells(t, "app.skipped_backends:0|g")
+	third := newRigOn(t, l, dir, backend)
+	say(third, "/offline")
+	old.tells(t, "app.skipped_backends:1|g")
+}
+
+// The old process answers what comes on the connections it has, and the new one
+// what comes on new ones. Nothing is closed on a client that may be writing.
+func TestOldProcessLeaves(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	old, next, conn := newPair(t, backend)
+	old.stop()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if status, _ := old.operate(t, "GET", "/control/ready"); status == http.StatusServiceUnavailable {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the old process is still ready")
+		}
+	}
+	for range 8 { // none meets a closed door
+		_, answers := next.client(t, ask("POST", "booking", "x"))
+		to, br := backend.accept(t)
+		readRequest(t, br)
+		to.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	if _, err := conn.Write([]byte(ask("GET", "lookup", ""))); err != nil {
+		t.Fatal(err)
+	}
+	serveOne(t, backend, "kept")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("on a connection from before: %v, %v", resp, err)
+	}
+	if err := wait(t, old.ended, "end"); err != nil {
+		t.Errorf("the old process ended with %v", err)
+	}
+	if status, _ := next.operate(t, "GET", "/control/ready"); status != http.StatusOK {
+		t.Errorf("the new process: status %d", status)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -37,6 +37,8 @@
 		offline bool
 		known   chan<- bool // has room for one
 	}
+	told    struct{ event rules.Event } // news of this process or the one beside it
+	join    struct{ books chan<- books }
 	retuned struct{ service *service }
 	news    struct {
 		listing Listing
@@ -59,12 +61,13 @@
 	stopped  chan struct{}  // closed when run ends
 	attempts sync.WaitGroup // those that use sockets
 
-	live    map[rules.RequestID]*exchange // until the last attempt has ended
-	nextID  rules.RequestID
-	names   map[rules.BackendID]string // whose id it is
-	timers  timerHeap
-	actions []rules.Action
-	pending []rules.Event // events that actions brought about
+	live       map[rules.RequestID]*exchange // until the last attempt has ended
+	nextID     rules.RequestID
+	instances  map[rules.BackendID]Instance // on the list
+	handedOver rules.Books
+	timers     timerHeap
+	actions    []rules.Action
+	pending    []rules.Event // events that actions brought about
 
 	traced   int     // lines about single requests
 	tracedAt float64 // in the second from here on
@@ -75,7 +78,7 @@
 func newLoop(c *Config, s *service, f *figures, p *pools, k *counter, onListed func()) *Loop {
 	l := &Loop{clock: newClock(), service: s, figures: f, pools: p, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{}}
+		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -146,6 +149,10 @@
 		l.endAttempt(m.a, m.result)
 	case callDone:
 		l.endCall(m.k, m.outcome, m.total)
+	case told:
+		l.handle(m.event)
+	case join:
+		m.books <- l.handOver()
 	case byHand:
 		m.known <- l.ban(m.id, m.offline)
 	case retuned:
@@ -204,7 +211,7 @@
 // hears of it: a dial that waits must not become an attempt.
 func (l *Loop) ban(id string, offline bool) (known bool) {
 	b := backendID(id)
-	if name, listed := l.names[b]; listed && name != id || !l.gateway.Knows(b) {
+	if i, listed := l.instances[b]; listed && i.ID != id || !l.gateway.Knows(b) {
 		return false
 	}
 	if offline {
@@ -227,24 +234,25 @@
 			log.Printf("discovery: %v", err)
 			continue
 		}
-		if name, known := l.names[b.ID]; known && name != i.ID {
-			log.Printf("discovery: instances %q and %q have one id; the second is left out", name, i.ID)
+		if first, known := l.instances[b.ID]; known && first.ID != i.ID {
+			log.Printf("discovery: instances %q and %q have one id; the second is left out", first.ID, i.ID)
 			continue
 		}
 		kept[b.ID] = true
 		ev.Entries = append(ev.Entries, b)
+		if l.instances[b.ID] = i; b.State == rules.Gone {
+			delete(l.instances, b.ID)
+		}
 		if b.State == rules.Ready {
-			l.names[b.ID] = i.ID
 			l.pools.update(b.ID, i.HostPort, b.Born)
 		} else {
-			delete(l.names, b.ID)
 			l.pools.remove(b.ID)
 		}
 	}
 	if kind != rules.Delta {
-		for id := range l.names {
+		for id := range l.instances {
 			if !kept[id] {
-				delete(l.names, id)
+				delete(l.instances, id)
 				l.pools.remove(id)
 			}
 		}
@@ -270,6 +278,8 @@
 			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
 			l.call(a)
+		case rules.HandedOver:
+			l.handedOver = a.Books
 		case rules.Log:
 			log.Print(a.Text)
 		case rules.Subscribe: // the watch always runs
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -62,6 +62,9 @@
 	retryShare = 0.15 // of first sends, so that retries cannot amplify an overload
 	retryMost  = 10.0 // retries saved up at most
 
+	pairShare   = 0.5 // of what the gateway may do unasked, for each of two processes of it
+	leaverShare = 0.2 // for the one that takes no more clients
+
 	coldSpan = 2.0  // seconds over which sends to warm backends are averaged
 	coldMin  = 0.5  // sends a second, of the whole fleet, that a cold backend always gets
 	coldSave = 1.5  // sends a cold backend's budget holds at most
@@ -82,7 +85,8 @@
 
 // New starts a gateway. It keeps nothing from an earlier life.
 func New(set Settings, seed uint64, now float64, out []Action) (*Gateway, []Action) {
-	g := &Gateway{set: set, now: now, out: out, born: now, lastHouse: now, lastCut: now, retries: retryMost}
+	g := &Gateway{set: set, now: now, out: out, born: now, lastHouse: now, lastCut: now, retries: retryMost,
+		share: 1, endsAt: math.Inf(1)}
 	g.rank()
 	g.makeRoom(seed)
 	if set.AskDiscovery {
@@ -115,6 +119,16 @@
 		g.counted(e)
 	case Backends:
 		g.backends(e)
+	case HandOver:
+		g.handOver()
+	case Adopt:
+		g.adopt(e.Books)
+	case Neighbour:
+		g.shareOut([]float64{Absent: 1, Beside: pairShare, Leaving: 1 - leaverShare}[e])
+	case Leave:
+		if g.endsAt = e.Until; g.share < 1 {
+			g.shareOut(leaverShare)
+		}
 	case ByHand:
 		g.byHand(e)
 	case Retune:
@@ -138,7 +152,7 @@
 		r.Sent = g.now
 	}
 	j := &job{Request: r, class: c, mostTries: max(g.set.MaxAttempts, 1), level: g.levelOf(c.Worth * p.Price)}
-	j.giveUp = r.Deadline - 2*g.set.Tick
+	j.giveUp = min(r.Deadline, g.endsAt) - 2*g.set.Tick
 	if c.LateWorth == 0 && c.AimStretch == 0 {
 		j.giveUp = min(j.giveUp, r.Sent+c.Aim-g.elapsed(r, c))
 	}
@@ -215,7 +229,7 @@
 // enqueue puts a paid request in the queue of its level, unless the wait would outlast its aim: Wh <= X /
 // (1 - X*Ah), X being the time in which the bound frees a place and Ah the arrivals of higher levels.
 func (g *Gateway) enqueue(j *job) {
-	x := g.latency / max(g.bound, 1e-3)
+	x := g.latency / max(g.bound*g.share, 1e-3)
 	ahead, higher := 1+float64(len(g.queues[j.level])), 0.0
 	for l := j.level + 1; l < len(g.queues); l++ {
 		ahead += float64(len(g.queues[l]))
@@ -231,11 +245,11 @@
 // full tells whether a level has to wait: it may fill its part of the bound. Of many gateways, the bound of
 // one is less than an attempt; then it is kept in the mean.
 func (g *Gateway) full(level int) bool {
-	room := g.bound
+	room, burst := g.bound*g.share, boundBurst*g.share
 	if g.worths[level] < topWorth*g.worths[len(g.worths)-1] {
 		room *= 1 - reserveShare
 	}
-	return float64(g.inFlight) >= max(room, boundBurst) || room < boundBurst && g.load >= room
+	return float64(g.inFlight) >= max(room, burst) || room < burst && g.load >= room
 }
 
 // dispatch releases held requests, highest level first.
@@ -541,7 +555,7 @@
 	case g.pressure > boundHigh && g.now-g.lastCut > max(g.latency, g.set.Tick):
 		g.bound = max(g.bound*boundCut, g.boundLeast())
 		g.lastCut = g.now
-	case g.pressure < boundLow && max(float64(g.inFlight), g.load) >= boundUsed*g.bound:
+	case g.pressure < boundLow && max(float64(g.inFlight), g.load) >= boundUsed*g.bound*g.share:
 		g.bound += min(1, g.perGateway()) / max(g.bound, 1)
 	}
 }
@@ -568,8 +582,8 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(w*g.warmRate, coldMin/float64(max(g.set.Fleet, 1)))
-	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), coldSave)
+	rate := max(w*g.warmRate, coldMin/float64(max(g.set.Fleet, 1))) * g.share
+	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), max(coldSave*g.share, 1))
 	s.budgetedAt = g.now
 	return s.budget >= 1
 }
@@ -599,6 +613,65 @@
 	}
 }
 
+// handOver writes the books for a process that has come up beside this one and splits what may be spent
+// unasked. Danger: what stays in both books would be spent twice.
+func (g *Gateway) handOver() {
+	b := Books{Bound: g.bound, Latency: g.latency, Spread: g.spread, Pressure: g.pressure, Crowd: g.crowd,
+		WarmRate: g.warmRate}
+	for _, s := range g.list {
+		s.budget /= 2
+		b.Backends = append(b.Backends, BackendBook{Backend: s.Backend, Banned: s.banned, Fail: s.fail,
+			Latency: s.latency, LastOK: s.lastOK, TrialAt: s.trialAt, TrialGap: s.trialGap,
+			Budget: s.budget, BudgetedAt: s.budgetedAt})
+	}
+	for _, c := range g.roster {
+		c.takeLocal(g.now, 0)
+		c.local /= 2
+		give := math.Floor(max(c.units, 0) / 2)
+		c.units -= give
+		b.Customers = append(b.Customers, CustomerBook{ID: c.id, Plan: c.plan, Gateways: c.gateways,
+			Index: c.index, Demand: c.demand / 2, Seen: c.seen, Units: give, Expires: c.expires, Leased: c.leased,
+			Window: c.window, Known: c.known, Met: c.met, DryUntil: c.dryUntil, Rest: c.rest,
+			RestTill: c.restTill, Local: c.local, LocalAt: c.localAt})
+	}
+	g.shareOut(pairShare)
+	g.do(HandedOver{Books: b})
+}
+
+// adopt takes over such books. What is owed or on its way stays with the other process.
+func (g *Gateway) adopt(b Books) {
+	g.bound, g.latency, g.spread, g.warmRate = b.Bound, b.Latency, b.Spread, b.WarmRate
+	g.pressure, g.crowd = b.Pressure, b.Crowd
+	for _, k := range b.Backends {
+		s := g.serverOf(k.Backend)
+		s.Born = max(s.Born, k.Born) // it may have come back by hand later than discovery says
+		s.banned, s.fail, s.latency, s.lastOK = k.Banned, k.Fail, k.Latency, k.LastOK
+		s.trialAt, s.trialGap, s.budget, s.budgetedAt = k.TrialAt, k.TrialGap, k.Budget, k.BudgetedAt
+	}
+	for _, k := range b.Customers {
+		if k.Plan >= len(g.set.Plans) || g.customers[k.ID] != nil {
+			continue
+		}
+		c := &customer{id: k.ID, plan: k.Plan, gateways: k.Gateways, index: k.Index, demand: k.Demand, seen: k.Seen,
+			units: k.Units, expires: k.Expires, leased: k.Leased, window: k.Window, known: k.Known, met: k.Met,
+			name: windowName(k.ID, k.Window), dryUntil: k.DryUntil, rest: k.Rest, restTill: k.RestTill,
+			local: k.Local, localAt: k.LocalAt}
+		g.customers[k.ID] = c
+		g.roster = append(g.roster, c)
+	}
+	g.shareOut(pairShare)
+}
+
+// shareOut takes a part of what the gateway may do unasked for this process.
+func (g *Gateway) shareOut(part float64) {
+	g.share = part
+	for _, c := range g.roster {
+		if c.plan < len(g.set.Plans) {
+			c.terms = g.terms(&g.set.Plans[c.plan], c.gateways, c.index)
+		}
+	}
+}
+
 // usable tells whether s may get requests at all.
 func (s *server) usable() bool { return s.State == Ready && !s.banned }
 
@@ -684,11 +757,15 @@
 // Under a ceiling, leases and local shares together never pass it. An exact store spends in any time L
 // allowance*(1+leaseShare) + rate*L at most, and twice the first allowance if the counter comes back empty;
 // short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate.
-func (g *Gateway) terms(p *Plan, gateways, index int) terms {
+func (g *Gateway) terms(p *Plan, gateways, index int) (t terms) {
 	n := float64(max(gateways, 1))
-	t := terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
+	t = terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
 		localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), places: p.MaxConcurrent,
 		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
+	defer func() { // what this process may do unasked
+		t.first, t.localRate, t.localBurst = t.first*g.share, t.localRate*g.share, t.localBurst*g.share
+		t.share = int(float64(t.share) * g.share)
+	}()
 	t.spare = t.allowance
 	if p.CeilingRate > 0 {
 		t.rate = min(p.Rate, p.CeilingRate)
@@ -731,7 +808,8 @@
 	}
 	fleet := max(g.set.Fleet, 1)
 	index := (g.set.Rank - r.FirstPeer + fleet) % fleet // this gateway's place in the customer's set
-	c.terms = g.terms(&g.set.Plans[r.Plan], r.Gateways, max(min(index, r.Gateways-1), 0))
+	c.plan, c.gateways, c.index = r.Plan, r.Gateways, max(min(index, r.Gateways-1), 0)
+	c.terms = g.terms(&g.set.Plans[r.Plan], c.gateways, c.index)
 	c.demand = c.demand*math.Exp(-(g.now-c.seen)/demandSpan) + r.Units/demandSpan
 	c.seen = g.now
 	return c
@@ -884,7 +962,7 @@
 	n := math.Floor(g.now/c.terms.window + c.phase())
 	if n != c.window {
 		c.window, c.known, c.owed, c.idle, c.dryUntil = n, 0, 0, 0, 0
-		c.name = hash(hash(uint64(c.id)) + uint64(int64(n)))
+		c.name = windowName(c.id, n)
 	}
 	if c.terms.exact {
 		floor = c.terms.rate * (g.now - (n-c.phase())*c.terms.window)
@@ -892,6 +970,11 @@
 	return floor
 }
 
+// windowName is the counter's name for a customer's window.
+func windowName(id CustomerID, window float64) uint64 {
+	return hash(hash(uint64(id)) + uint64(int64(window)))
+}
+
 // crowded leaves a call out, the more often the more of late have failed.
 func (g *Gateway) crowded(c *customer) bool {
 	if g.rng.Float64() >= g.leftOut() {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1136,3 +1136,86 @@
 		t.Error("the call back undid a drain")
 	}
 }
+
+// Two processes of a gateway must spend nothing twice: what one has in its books
+// the other has not, and what each may do unasked is a part of the whole.
+func TestHandOver(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].CeilingRate, set.Plans[1].CeilingBurst = 40, 80
+	old := start(t, set, some(3)...)
+	old.ask(0, 1, 1) // takes a lease
+	old.ask(0, 0, 2)
+	old.handle(ByHand{Backend: 2, Offline: true})
+	old.handle(ByHand{Backend: 3, Offline: true})
+	old.now++
+	old.handle(ByHand{Backend: 3}) // back, and so cold
+	units := map[CustomerID]float64{}
+	locals := map[CustomerID]float64{}
+	for _, c := range old.g.roster {
+		c.takeLocal(old.now, 0)
+		units[c.id], locals[c.id] = c.units, c.local
+	}
+	if units[1] < 2 {
+		t.Fatalf("%f units leased, too few to share", units[1])
+	}
+	whole := old.g.customers[1].terms
+	books := one[HandedOver](t, old.handle(HandOver{})).Books
+
+	next := &drive{t: t, now: old.now, nextID: 100}
+	next.g, _ = New(set, 8, next.now, nil)
+	next.handle(Backends{Kind: CachedList, Entries: some(3)})
+	next.handle(Adopt{Books: books})
+	for id, had := range units {
+		a, b := old.g.customers[id], next.g.customers[id]
+		if sum := a.units + b.units; sum > had || b.units == 0 && had >= 2 {
+			t.Errorf("customer %d: %f and %f of %f units", id, a.units, b.units, had)
+		}
+		if a.takeLocal(old.now, 0); a.local+b.local > locals[id]+1e-9 {
+			t.Errorf("customer %d: local shares %f and %f of %f", id, a.local, b.local, locals[id])
+		}
+	}
+	for _, d := range []*drive{old, next} {
+		if c := d.g.customers[1].terms; c.localRate > whole.localRate/2 || c.first > whole.first/2 {
+			t.Errorf("terms of a process %+v, of the gateway %+v", c, whole)
+		}
+		if s := d.g.servers[2]; s.usable() || !d.g.servers[1].usable() {
+			t.Error("the ban is not in both books")
+		}
+		if w := d.g.warmth(d.g.servers[3]); w != set.ColdFrom {
+			t.Errorf("a backend that has just come back has warmth %f", w)
+		}
+		d.g.bound, d.g.inFlight = 20, 10
+		if !d.g.full(len(d.g.worths) - 1) {
+			t.Error("half of the bound does not bind")
+		}
+		d.g.inFlight = 0
+	}
+	next.ask(0, 1, 1)
+	if n := len(find[Count](next.last)); n != 0 {
+		t.Errorf("%d calls to the counter for a customer whose lease was handed over", n)
+	}
+	old.handle(Leave{Until: old.now + 1})
+	next.handle(Leaving)
+	if sum := old.g.share + next.g.share; sum > 1 {
+		t.Errorf("the shares are %f together", sum)
+	}
+	next.handle(Absent)
+	if c := next.g.customers[1].terms; c.localRate != whole.localRate {
+		t.Errorf("alone, the local rate is %f of %f", c.localRate, whole.localRate)
+	}
+}
+
+// A process that ends answers whom it holds before it does.
+func TestLeaveEndsRequestsInTime(t *testing.T) {
+	d := start(t, testSettings())
+	d.handle(Leave{Until: d.now + 0.5})
+	d.ask(1, 1, 1)
+	for _, timer := range find[SetTimer](d.last) {
+		if timer.Token>>56 == timerEnd && timer.In > 0.5 {
+			t.Errorf("answered after %f s, when the process is gone", timer.In)
+		}
+	}
+	if len(find[SetTimer](d.last)) == 0 {
+		t.Error("no timer")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,6 +25,8 @@
 	roster    []*customer       // by first sight
 	calls     map[uint64][]call // out, by name, in order
 	born      float64
+	share     float64 // part of what the gateway may do that is this process's
+	endsAt    float64 // when this process ends
 
 	bound, lastCut    float64 // most attempts in flight, and when that was last cut
 	inFlight          int
@@ -140,6 +142,9 @@
 // customer is the quota of one customer as this gateway sees it.
 type customer struct {
 	id             CustomerID
+	plan           int // what the terms were worked out from
+	gateways       int
+	index          int
 	terms          terms
 	seen, demand   float64 // units a second, here
 	open           int     // requests let in and not over, and further attempts
--- a/rules/types.go
+++ b/rules/types.go
@@ -250,7 +250,68 @@
 	Offline bool
 }
 
+// HandOver asks for the books of a gateway whose next process has come up beside
+// it. The answer is a HandedOver.
+type HandOver struct{}
+
+// Adopt gives a new process the books of the one beside it, before its first
+// request.
+type Adopt struct{ Books Books }
+
+// Neighbour tells what the other process of this gateway does, whose books
+// were taken or given.
+type Neighbour int
+
+// What it may do.
+const (
+	Absent  Neighbour = iota // it has ended
+	Beside                   // it serves too
+	Leaving                  // it takes no more clients
+)
+
+// Leave says that the process ends then, and can answer nobody after it.
+type Leave struct{ Until float64 }
+
+// Books is what one process of a gateway leaves to the next: its bans and what
+// it knows of backends, and a part of its leases, which it then has no longer.
+type Books struct {
+	Bound, Latency, Spread float64
+	Pressure, Crowd        float64
+	WarmRate               float64
+	Backends               []BackendBook
+	Customers              []CustomerBook
+}
+
+// BackendBook is what is known of one backend.
+type BackendBook struct {
+	Backend
+	Banned        bool
+	Fail, Latency float64
+	LastOK        float64
+	TrialAt       float64
+	TrialGap      float64
+	Budget        float64
+	BudgetedAt    float64
+}
+
+// CustomerBook is the quota of one customer.
+type CustomerBook struct {
+	ID                    CustomerID
+	Plan, Gateways, Index int
+	Demand, Seen          float64
+	Units, Expires        float64
+	Leased, Window, Known float64
+	Met                   bool
+	DryUntil              float64
+	Rest, RestTill        float64
+	Local, LocalAt        float64
+}
+
 func (Backends) event()     {}
+func (HandOver) event()     {}
+func (Adopt) event()        {}
+func (Neighbour) event()    {}
+func (Leave) event()        {}
 func (ByHand) event()       {}
 func (Retune) event()       {}
 func (Request) event()      {}
@@ -309,15 +370,19 @@
 // Subscribe asks discovery for changes.
 type Subscribe struct{}
 
+// HandedOver answers a HandOver.
+type HandedOver struct{ Books Books }
+
 // Log writes a line for the operators.
 type Log struct{ Text string }
 
-func (Send) action()      {}
-func (Cancel) action()    {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (SetTimer) action()  {}
-func (Count) action()     {}
-func (Probe) action()     {}
-func (Subscribe) action() {}
-func (Log) action()       {}
+func (Send) action()       {}
+func (Cancel) action()     {}
+func (Refuse) action()     {}
+func (Fail) action()       {}
+func (SetTimer) action()   {}
+func (Count) action()      {}
+func (Probe) action()      {}
+func (Subscribe) action()  {}
+func (HandedOver) action() {}
+func (Log) action()        {}
