--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -23,7 +23,8 @@
 
 const (
 	mostBody     = 64 << 10               // bytes of a body, either way
-	mostAnswer   = 128 << 10              // bytes of an answer with its headers and framing
+	mostHead     = 64 << 10               // bytes of an answer's head
+	shortAnswer  = 4 << 10                // bytes of an answer that takes no memory worth counting
 	mostInterim  = 8                      // 1xx answers before the real one
 	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
 	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
@@ -40,6 +41,8 @@
 	header  http.Header // of a served answer
 	body    []byte
 	units   float64 // that the request really took from the quota; 0: not told
+	cut     error   // why the client's body did not come whole; nothing has run then
+	spent   bool    // the client's body can't be sent again
 }
 
 // attempt is one sending of a request to a backend. The loop owns all but what
@@ -55,6 +58,10 @@
 	outcome  rules.Outcome // once ended
 	took     float64
 	err      error
+	rest     *download // an answer that is on its way to the client
+
+	// begun tells the loop that a long answer has begun, which tells the client.
+	begun func(*download, answer) bool
 
 	ctx    context.Context // of the dial
 	cancel context.CancelFunc
@@ -151,15 +158,16 @@
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
 	tries          *atomic.Int64
+	answers        budget
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
 	open    int // connections and dials
 }
 
-func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, tries *atomic.Int64) *pools {
+func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, tries *atomic.Int64, answers budget) *pools {
 	return &pools{connectTimeout: connectTimeout, idleLimit: idleLimit(keepAlive),
-		mostOpen: mostOpen, tries: tries, targets: map[rules.BackendID]*target{}}
+		mostOpen: mostOpen, tries: tries, answers: answers, targets: map[rules.BackendID]*target{}}
 }
 
 // keep sets how many connections there may be.
@@ -367,19 +375,21 @@
 		p.discard(c)
 		return result{outcome: rules.ConnectFailed}
 	}
-	c.SetDeadline(a.until)
-	err = a.x.request(time.Until(a.until)).Write(c.w)
-	if err == nil {
-		err = c.w.Flush()
-	}
-	if err != nil {
+	if err := a.write(c); err != nil {
 		a.release()
 		p.discard(c)
-		return result{outcome: rules.ConnectFailed, err: err}
+		res := result{outcome: rules.ConnectFailed, err: err}
+		if u := a.x.upload; u != nil {
+			if res.cut, res.spent = u.failed(), u.spent(); res.cut != nil || u.closed.Load() {
+				res.outcome = rules.Moot // the backend is not to blame
+			}
+		}
+		return res
 	}
 	p.tries.Add(1)
 	c.uses++
-	res, reuse := c.answer(a.x.method)
+	res, reuse := p.answer(a, c)
+	res.spent = a.x.upload != nil
 	if res.err != nil {
 		res.err = fmt.Errorf("request %d after %v idle: %w", c.uses, c.rest, res.err)
 	}
@@ -391,6 +401,33 @@
 	return res
 }
 
+// write sends the request. A long body sets the pace itself: the attempt's own
+// time begins with its last byte.
+func (a *attempt) write(c *backendConn) error {
+	u := a.x.upload
+	if u == nil {
+		c.SetDeadline(a.until)
+		r := a.x.request(time.Until(a.until))
+		if len(a.x.body) > 0 {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.x.body)), int64(len(a.x.body))
+		}
+		if err := r.Write(c.w); err != nil {
+			return err
+		}
+		return c.w.Flush()
+	}
+	moved := func() { c.SetDeadline(time.Now().Add(stall)) }
+	moved()
+	r := a.x.request(u.left)
+	r.Body, r.ContentLength = io.NopCloser(u.reader(a.x.body, moved)), u.length
+	if err := r.Write(c.w); err != nil {
+		return err
+	}
+	a.until = u.until
+	c.SetDeadline(a.until)
+	return c.w.Flush()
+}
+
 // request is what goes to the backend: the client's own, with the time that
 // this attempt has.
 func (x *exchange) request(left time.Duration) *http.Request {
@@ -399,19 +436,15 @@
 		header[k] = v
 	}
 	header[leftHeader] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	r := &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
-	if len(x.body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
-	}
-	return r
+	return &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
 }
 
-// answer reads what comes back, the body whole, and tells whether the
-// connection may be used again.
-func (c *backendConn) answer(method string) (result, bool) {
-	asked := &http.Request{Method: method}
-	c.left.N = mostAnswer
+// answer reads what comes back and tells whether the connection may be used
+// again. A short body is read whole. A long one goes to the client as it comes.
+func (p *pools) answer(a *attempt, c *backendConn) (result, bool) {
+	asked := &http.Request{Method: a.x.method}
 	for range mostInterim {
+		c.left.N = mostHead
 		resp, err := http.ReadResponse(c.r, asked)
 		if err != nil {
 			return result{outcome: broken(err), err: err}, false
@@ -419,8 +452,22 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		c.left.N = noLimit
+		if resp.ContentLength < 0 || resp.ContentLength > shortAnswer {
+			if err := p.answers.take(a.ctx); err != nil {
+				return result{outcome: rules.Errored, err: err}, false
+			}
+			defer p.answers.give()
+		}
+		good := resp.StatusCode == http.StatusOK
 		body, err := readBody(resp.Body, resp.ContentLength)
-		resp.Body.Close()
+		if tooLong := errors.Is(err, errTooLong); tooLong && !good {
+			resp.Close, err = true, nil // its text is nothing to anybody
+		} else if tooLong {
+			outcome := a.pass(resp, body, c)
+			reuse := outcome == rules.Served && !resp.Close && c.r.Buffered() == 0
+			return result{outcome: outcome, units: trueUnits(resp.Header)}, reuse
+		}
 		if err != nil {
 			return result{outcome: broken(err), err: err}, false
 		}
@@ -437,6 +484,16 @@
 	return result{outcome: rules.Errored}, false
 }
 
+// pass hands a long answer over, of which the start has been read, and waits
+// until it has gone to the client or can't.
+func (a *attempt) pass(resp *http.Response, start []byte, c *backendConn) rules.Outcome {
+	d := newDownload(resp.Body, c)
+	if !a.begun(d, answer{status: http.StatusOK, header: resp.Header, body: start, length: resp.ContentLength, rest: d}) {
+		return rules.Cancelled // nobody is there to take it
+	}
+	return <-d.end
+}
+
 // trueUnits reads what a request really took. The answer is the client's whatever
 // stands there, so what is no number of units counts as not told.
 func trueUnits(h http.Header) float64 {
@@ -457,7 +514,8 @@
 
 var errTooLong = errors.New("the body is too long")
 
-// readBody reads a whole body, of known length or not.
+// readBody reads a whole body, of known length or not. Of one that turns out too
+// long it returns what has been read, which is nothing where that is known before.
 func readBody(r io.Reader, length int64) ([]byte, error) {
 	if length > mostBody {
 		return nil, errTooLong
--- /dev/null
+++ b/internal/gateway/bulk_test.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// get sends a request and reads the head of the answer.
+func (r *rig) get(t *testing.T, text string) (net.Conn, func() *http.Response) {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	return conn, func() *http.Response {
+		t.Helper()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+}
+
+// A long answer reaches the client while the backend still gives it, in any
+// framing, and unchanged.
+func TestLongAnswerGoesOnAsItComes(t *testing.T) {
+	t.Parallel()
+	whole := bytes.Repeat([]byte("0123456789abcdef"), 20*mostBody/16)
+	for name, c := range map[string]struct {
+		head, tail string
+		piece      func([]byte) string
+	}{
+		"of known length": {"Content-Length: " + strconv.Itoa(len(whole)) + "\r\n\r\n", "",
+			func(b []byte) string { return string(b) }},
+		"in chunks, with a trailer": {"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n", "0\r\nX-Sum: 1\r\n\r\n",
+			func(b []byte) string { return fmt.Sprintf("%x;a=b\r\n%s\r\n", len(b), b) }},
+		"to the end of the connection": {"Connection: close\r\n\r\n", "", func(b []byte) string { return string(b) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			_, head := r.get(t, ask("GET", "lookup", ""))
+			to, br := backend.accept(t)
+			readRequest(t, br)
+			io.WriteString(to, "HTTP/1.1 200 OK\r\n"+c.head+c.piece(whole[:2*mostBody]))
+			resp := head()
+			start := make([]byte, 2*mostBody)
+			if _, err := io.ReadFull(resp.Body, start); err != nil { // before the backend has given more
+				t.Fatal(err)
+			}
+			r.tells(t, "app.in_progress:1|g", "app.handled.lookup.passed:0|c")
+			go func() {
+				for rest := whole[2*mostBody:]; len(rest) > 0; rest = rest[mostBody:] {
+					io.WriteString(to, c.piece(rest[:mostBody]))
+				}
+				io.WriteString(to, c.tail)
+				if strings.Contains(c.head, "close") {
+					to.Close()
+				}
+			}()
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || !bytes.Equal(append(start, rest...), whole) {
+				t.Errorf("%d bytes of %d, %v", len(start)+len(rest), len(whole), err)
+			}
+			r.tells(t, "app.in_progress:0|g", "app.handled.lookup.passed:1|c", "app.upstream_tries:1|c")
+		})
+	}
+}
+
+// Once an answer has begun it is not made again, and its client can tell that it
+// is not whole.
+func TestLongAnswerThatBreaks(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{"Content-Length: 1000000", "Transfer-Encoding: chunked"} {
+		backend := newPeer(t)
+		r := newRig(t, backend)
+		_, answer := r.get(t, ask("GET", "lookup", ""))
+		to, br := backend.accept(t)
+		readRequest(t, br)
+		fmt.Fprintf(to, "HTTP/1.1 200 OK\r\n%s\r\n\r\n20000\r\n%s", head, strings.Repeat("x", 2*mostBody))
+		resp := answer()
+		if _, err := io.ReadFull(resp.Body, make([]byte, mostBody)); err != nil {
+			t.Fatal(err)
+		}
+		to.Close()
+		if rest, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: %d more bytes passed for the whole", head, len(rest))
+		}
+		r.tells(t, "app.handled.lookup.bad_gateway:1|c", "app.in_progress:0|g", "app.upstream_tries:1|c")
+		if len(backend.conns) != 0 {
+			t.Errorf("%s: sent again", head)
+		}
+	}
+}
+
+// A client that leaves in the middle of its answer frees the backend's connection.
+func TestClientLeavesDuringLongAnswer(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, head := r.get(t, ask("GET", "lookup", ""))
+	to, br := backend.accept(t)
+	readRequest(t, br)
+	fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", mostLong, strings.Repeat("x", mostBody))
+	head()
+	conn.Close()
+	for {
+		if _, err := io.WriteString(to, strings.Repeat("x", mostBody)); err != nil {
+			break // the gateway has closed
+		}
+	}
+	r.tells(t, "app.in_progress:0|g")
+}
+
+// A long body reaches the backend while it still comes. Its time counts from its
+// last byte, and only then is it taken.
+func TestLongBodyGoesOnAsItComes(t *testing.T) {
+	t.Parallel()
+	whole := strings.Repeat("0123456789abcdef", 4*mostBody/16)
+	for name, chunked := range map[string]bool{"of known length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			framing, value, piece, tail := "Content-Length", strconv.Itoa(len(whole)), func(s string) string { return s }, ""
+			if chunked {
+				framing, value = "Transfer-Encoding", "chunked"
+				piece = func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+				tail = "0\r\nX-Sum: 1\r\n\r\n"
+			}
+			conn, head := r.get(t, ask("POST", "booking", "", framing, value, "Expect", "100-continue"))
+			if resp := head(); resp.StatusCode != http.StatusContinue {
+				t.Errorf("status %d before the body", resp.StatusCode)
+			}
+			io.WriteString(conn, piece(whole[:2*mostBody]))
+			_, br := backend.accept(t)
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := make([]byte, mostBody) // before the client has sent more
+			if _, err := io.ReadFull(req.Body, start); err != nil {
+				t.Fatal(err)
+			}
+			r.tells(t, "app.in_progress:0|g", "app.upstream_tries:0|c")
+			io.WriteString(conn, piece(whole[2*mostBody:])+tail)
+			rest, err := io.ReadAll(req.Body)
+			if err != nil || string(start)+string(rest) != whole {
+				t.Errorf("%d bytes of %d, %v", len(start)+len(rest), len(whole), err)
+			}
+			r.tells(t, "app.in_progress:1|g", "app.upstream_tries:1|c")
+		})
+	}
+}
+
+// A body that breaks off was never a request: no backend gets it whole, and
+// nobody is blamed or asked again.
+func TestLongBodyThatBreaks(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, _ := r.get(t, ask("POST", "booking", "", "Content-Length", "1000000")+strings.Repeat("x", 2*mostBody))
+	_, br := backend.accept(t)
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.ReadFull(req.Body, make([]byte, mostBody))
+	conn.Close()
+	if _, err := io.ReadAll(req.Body); err == nil {
+		t.Error("the backend has a whole request")
+	}
+	r.tells(t, "app.in_progress:0|g", "app.upstream_tries:0|c", "app.skipped_backends:0|g")
+	if len(backend.conns) != 0 {
+		t.Error("sent again")
+	}
+}
+
+// An answer that comes before the end of the body comes at once.
+func TestRefusalDuringLongBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)                                   // no backend
+	conn, head := r.get(t, ask("GET", "glance", "")) // with no body, as a measure
+	if resp := head(); resp.StatusCode != http.StatusTooManyRequests {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	conn.Close()
+	_, head = r.get(t, strings.Replace(ask("POST", "booking", "", "Content-Length", "1000000"), "/booking", "/nothing", 1)+"x")
+	if resp := head(); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// Slow clients are told from silent ones by whether their body goes on.
+func TestSlowBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		piece int
+		every time.Duration
+		lost  bool
+	}{
+		"slow but steady": {64 << 10, time.Second, false},
+		"in small pieces": {640, 10 * time.Millisecond, false},
+		"in large pieces": {160 << 10, 2500 * time.Millisecond, false},
+		"a byte a second": {1, time.Second, true},
+		"silent":          {1 << 10, time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, p := newPipedFrontend(t)
+				client, server := net.Pipe()
+				defer client.Close()
+				p.conns <- server
+				const length = 480 << 10
+				io.WriteString(client, ask("POST", "booking", "", "Content-Length", strconv.Itoa(length)))
+				x := (<-f.loop.inbox).(arrival).x
+				begun, broke := time.Now(), make(chan time.Time, 1)
+				go func() {
+					_, err := io.Copy(io.Discard, x.upload.reader(nil, func() {}))
+					if (err != nil) != c.lost {
+						t.Errorf("the body ended with %v", err)
+					}
+					broke <- time.Now()
+					x.reply <- answer{status: http.StatusTooManyRequests}
+				}()
+				go io.Copy(io.Discard, client)
+				for sent := 0; sent < length; sent += c.piece {
+					if _, err := client.Write(make([]byte, min(c.piece, length-sent))); err != nil {
+						break // given up
+					}
+					time.Sleep(c.every) // of the bubble's time
+				}
+				if took := (<-broke).Sub(begun); c.lost && took > 3*time.Second {
+					t.Errorf("given up after %v", took)
+				}
+				client.Close()
+				if !c.lost {
+					if _, whole := (<-f.loop.inbox).(uploaded); !whole {
+						t.Error("the loop was not told of the end")
+					}
+				}
+			})
+		})
+	}
+}
+
+// A head may take 2 s.
+func TestSlowHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p := newPipedFrontend(t)
+		client, server := net.Pipe()
+		defer client.Close()
+		p.conns <- server
+		text := ask("GET", "lookup", "")
+		for _, piece := range []string{text[:1], text[1:10], text[10 : len(text)-1]} {
+			io.WriteString(client, piece)
+			time.Sleep(700 * time.Millisecond) // of the bubble's time
+		}
+		io.WriteString(client, text[len(text)-1:])
+		if _, ok := (<-f.loop.inbox).(arrival); !ok {
+			t.Error("the request did not arrive")
+		}
+	})
+}
+
+// A target with an address in it goes on without.
+func TestOriginForm(t *testing.T) {
+	for target, want := range map[string]string{"/a/b?c=%2F": "/a/b?c=%2F", "http://x.svc/a?b": "/a?b",
+		"http://x.svc": "/", "http://x.svc?b=/c": "/?b=/c", "/a?u=http://y/z": "/a?u=http://y/z"} {
+		if got := originForm(target); got != want {
+			t.Errorf("%s: %s, want %s", target, got, want)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,12 +47,12 @@
 func serve(ctx context.Context, c *Config, reloads <-chan Reload, listener, operators net.Listener) error {
 	clients, backends := split(c.Sockets - reserved)
 	var figures figures
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, &figures.tries)
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, &figures.tries, newBudget(c.MemoryMB))
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
+	front := &frontend{fresh: map[net.Conn]struct{}{}, bodies: newBudget(c.MemoryMB), mostConns: int(softShare * float64(clients))}
 	front.service.Store(figures.service(c.Deployment))
 	front.loop = newLoop(c, front.service.Load(), &figures, pools, calls, func() { front.ready.Store(true) })
 
@@ -146,7 +146,7 @@
 	})
 	defer known.Stop()
 
-	server := front.server(longest(front))
+	server := front.server()
 	failed := make(chan error, 2) // one for each server
 	wg.Go(func() { failed <- server.Serve(limited) })
 	if operators != nil {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"log"
 	"log/slog"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,8 +22,17 @@
 
 // What sockets tell the loop.
 type (
-	arrival     struct{ x *exchange }
-	clientGone  struct{ x *exchange }
+	arrival    struct{ x *exchange }
+	clientGone struct{ x *exchange }
+	uploaded   struct { // a long body has come whole
+		x     *exchange
+		until time.Time
+	}
+	answerBegun struct { // a long answer has
+		a        *attempt
+		answer   answer
+		accepted chan<- bool // has room for one
+	}
 	attemptDone struct {
 		a      *attempt
 		result result
@@ -139,13 +149,18 @@
 		l.arrive(m.x)
 	case clientGone:
 		if m.x.open {
-			m.x.open = false
-			l.figures.inProgress.Add(-1)
 			l.trace(m.x, "client left")
-			l.handle(rules.ClientGone{Request: m.x.ask.ID})
-			l.drop(m.x)
+			l.forsake(m.x)
 		}
+	case uploaded:
+		l.whole(m.x, m.until)
+	case answerBegun:
+		m.accepted <- l.begin(m.a, m.answer)
 	case attemptDone:
+		if x := m.a.x; m.result.cut != nil && x.open {
+			x.reply <- answer{status: uploadStatus(m.result.cut)}
+			l.forsake(x)
+		}
 		l.endAttempt(m.a, m.result)
 	case callDone:
 		l.endCall(m.k, m.outcome, m.total)
@@ -194,10 +209,69 @@
 	}
 	x.ask.ID, x.open, x.queued = l.nextID, true, l.clock.now()-x.ask.Sent
 	l.live[x.ask.ID] = x
-	l.figures.inProgress.Add(1)
+	if !x.ask.Open {
+		l.enter(x)
+	}
 	l.handle(x.ask)
 }
 
+// enter counts a request whose last byte has come.
+func (l *Loop) enter(x *exchange) {
+	x.taken = true
+	l.figures.inProgress.Add(1)
+}
+
+// shut ends what an exchange is owed.
+func (l *Loop) shut(x *exchange) {
+	if x.open = false; x.taken {
+		l.figures.inProgress.Add(-1)
+	}
+}
+
+// forsake ends a request whose client has left, or has sent none that is whole.
+func (l *Loop) forsake(x *exchange) {
+	l.shut(x)
+	l.handle(rules.ClientGone{Request: x.ask.ID})
+	for _, a := range x.attempts {
+		if a.rest != nil {
+			a.rest.finish(rules.Cancelled) // in case nobody took it
+		}
+	}
+	l.drop(x)
+}
+
+// whole starts the time of a request whose body has come.
+func (l *Loop) whole(x *exchange, until time.Time) {
+	if !x.open {
+		return
+	}
+	x.ask.Open, x.ask.Sent = false, l.clock.now()
+	x.ask.Deadline = x.ask.Sent + time.Until(until).Seconds()
+	l.enter(x)
+	if a := x.attempts[len(x.attempts)-1]; !a.ended {
+		a.deadline = x.ask.Deadline
+		l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	}
+	l.handle(rules.Whole{Request: x.ask.ID, Deadline: x.ask.Deadline})
+}
+
+// begin lets a long answer go to the client, if it is still owed one.
+func (l *Loop) begin(a *attempt, start answer) bool {
+	x := a.x
+	if a.ended || !x.open || x.begun {
+		return false
+	}
+	x.begun, a.rest = true, start.rest
+	start.header = passedOn(start.header)
+	start.header.Del(loadHeader) // for gateways, not for clients
+	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent})
+	if l.clock.now()-x.ask.Sent > x.class.Aim {
+		l.trace(x, "served late")
+	}
+	x.reply <- start // it has room for one, and one is all it gets
+	return true
+}
+
 // carryOver fits a request that was read under earlier settings to those in
 // force. It keeps its class; its customer's quota is that of the plan of today.
 // Danger: the numbers of classes and plans mean others by now.
@@ -299,7 +373,23 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
-	a.until = l.clock.at(a.deadline)
+	if x.ask.Open {
+		a.deadline = math.Inf(1) // until its body is whole
+	} else {
+		a.until = l.clock.at(a.deadline)
+	}
+	a.begun = func(d *download, start answer) bool {
+		accepted := make(chan bool, 1)
+		if !l.post(answerBegun{a, start, accepted}) {
+			return false
+		}
+		select {
+		case ok := <-accepted:
+			return ok
+		case <-l.stopped:
+			return false
+		}
+	}
 	x.attempts = append(x.attempts, a)
 	x.out++
 	if !x.open || a.number >= max(l.service.MaxAttempts, 1) || a.deadline <= now {
@@ -307,7 +397,9 @@
 		return
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	if !x.ask.Open {
+		l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	}
 	l.attempts.Go(func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
 		a.cancel()
@@ -323,13 +415,22 @@
 	a.ended, a.outcome, a.err, a.took = true, res.outcome, res.err, l.clock.now()-a.sent
 	x := a.x
 	x.out--
-	if res.outcome == rules.Served && x.open {
+	switch {
+	case !x.open:
+	case x.begun && res.outcome == rules.Served:
+		l.shut(x)
+		x.counts.passed.Add(1)
+	case x.begun:
+		l.shut(x) // the client can tell: its connection ends before the answer does
+		x.counts.badGateway.Add(1)
+		l.trace(x, "not served")
+	case res.outcome == rules.Served:
 		header := passedOn(res.header)
 		header.Del(loadHeader) // for gateways, not for clients
 		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
 	}
 	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
-		Took: a.took, Done: !x.open, Units: res.units})
+		Took: a.took, Done: !x.open, Spent: res.spent, Units: res.units})
 	l.drop(x)
 }
 
@@ -341,7 +442,9 @@
 	a := x.attempts[c.Attempt]
 	a.callOff()
 	outcome := rules.Cancelled
-	if l.clock.now() >= a.deadline-sameMoment {
+	if x.ask.Open {
+		outcome = rules.Moot // its backend does not have it whole
+	} else if l.clock.now() >= a.deadline-sameMoment {
 		outcome = rules.TimedOut // the module learns from it
 	}
 	l.endAttempt(a, result{outcome: outcome})
@@ -353,8 +456,7 @@
 	if x == nil || !x.open {
 		return
 	}
-	x.open = false
-	l.figures.inProgress.Add(-1)
+	l.shut(x)
 	switch a.status {
 	case http.StatusOK:
 		x.counts.passed.Add(1)
@@ -410,7 +512,7 @@
 func (l *Loop) void(t timerEntry) bool {
 	switch {
 	case t.attempt != nil:
-		return t.attempt.ended
+		return t.attempt.ended || t.attempt.rest != nil // an answer that has begun is not cut off
 	case t.call != nil:
 		return t.call.ended
 	case t.request != 0:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -106,9 +106,9 @@
 	case AttemptEnd:
 		g.attemptEnd(e)
 	case Established:
-		if j := g.live(e.Request); j != nil {
-			j.streams = true
-		}
+		g.established(e)
+	case Whole:
+		g.whole(e)
 	case ClientGone:
 		if j := g.live(e.Request); j != nil {
 			g.close(j)
@@ -152,10 +152,7 @@
 		r.Sent = g.now
 	}
 	j := &job{Request: r, class: c, mostTries: max(g.set.MaxAttempts, 1), level: g.levelOf(c.Worth * p.Price)}
-	j.giveUp = min(r.Deadline, g.endsAt) - 2*g.set.Tick
-	if c.LateWorth == 0 && c.AimStretch == 0 {
-		j.giveUp = min(j.giveUp, r.Sent+c.Aim-g.elapsed(r, c))
-	}
+	j.giveUp = g.lastUse(j)
 	g.jobs[r.ID] = j
 	g.arrived[j.level]++
 	who := g.customerOf(r)
@@ -179,6 +176,15 @@
 	}
 }
 
+// lastUse is when an answer to j ceases to earn anything.
+func (g *Gateway) lastUse(j *job) float64 {
+	t := min(j.Deadline, g.endsAt) - 2*g.set.Tick
+	if c := j.class; c.LateWorth == 0 && c.AimStretch == 0 {
+		t = min(t, j.Sent+c.Aim-g.elapsed(j.Request, c))
+	}
+	return t
+}
+
 // elapsed is the time that the client has surely spent on earlier tries. Most tries of a class and plan are
 // given the same patience; one that has another is cut to what is left of the client's whole patience.
 // Danger: a repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
@@ -214,6 +220,7 @@
 		// Units are had, and a late answer earns more than none. Without them it would take them from a
 		// request that can still be in time: while units are scarce, one late request makes the next late.
 		g.timer(j.giveUp-g.now-g.latency, timerStart, 0, j.ID)
+	case j.Open && len(j.attempts) > 0: // its time has not begun
 	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
 		switch {
 		case len(j.attempts) > 0:
@@ -349,7 +356,7 @@
 	tries := len(j.attempts)
 	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
 	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || stale ||
-		tries >= min(j.mostTries, max(g.set.MaxAttempts, 1)) || j.out > 0 && !g.set.CanCopy {
+		j.spent || tries >= min(j.mostTries, max(g.set.MaxAttempts, 1)) || j.out > 0 && !g.set.CanCopy {
 		return false
 	}
 	if tries == 0 {
@@ -362,17 +369,58 @@
 	}
 	j.attempts = append(j.attempts, attempt{on: s, sent: g.now})
 	j.out++
-	g.enter(s, j.level)
 	if g.warmth(s) < 1 {
 		s.budget--
 	} else {
 		g.warmSent++
 	}
+	if j.Open {
+		g.do(Send{Request: j.ID, Backend: s.ID}) // its time counts from its last byte
+		return true
+	}
 	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
+	g.begin(j, tries)
+	return true
+}
+
+// begin counts an attempt that its backend has whole, or is about to.
+func (g *Gateway) begin(j *job, n int) {
+	g.enter(&j.attempts[n], j.level)
 	if g.latency > 0 {
-		g.timer(g.lateAfter(), timerLate, tries, j.ID)
+		g.timer(g.lateAfter(), timerLate, n, j.ID)
+	}
+}
+
+// whole starts the time of a request whose body took its own to come. Until then it is no work for a backend
+// and takes no place under the bound.
+func (g *Gateway) whole(e Whole) {
+	j := g.live(e.Request)
+	if j == nil || !j.Open || len(j.attempts) == 0 {
+		return
+	}
+	j.Open, j.Sent, j.Deadline = false, g.now, e.Deadline
+	j.giveUp = g.lastUse(j)
+	g.timer(j.giveUp-g.now, timerEnd, 0, j.ID)
+	if n := len(j.attempts) - 1; !j.attempts[n].ended {
+		j.attempts[n].sent = g.now
+		j.mayAt = g.now
+		g.begin(j, n)
+	}
+}
+
+// established takes note that an answer has begun. The backend has done its work; what remains is transfer,
+// at the pace of client and backend, which says nothing of load.
+func (g *Gateway) established(e Established) {
+	j := g.live(e.Request)
+	if j == nil || e.Attempt >= len(j.attempts) {
+		return
+	}
+	j.streams = true
+	if a := &j.attempts[e.Attempt]; !a.ended {
+		a.answered = g.now
+		g.uncount(a, j.level)
+		g.admit(j.customer)
 	}
-	return true
 }
 
 func (g *Gateway) lateAfter() float64 { return g.latency + lateDevs*g.spread }
@@ -387,7 +435,8 @@
 	a.ended = true
 	j.out--
 	c.open--
-	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+	j.spent = j.spent || e.Spent
+	if (e.Outcome == TimedOut || e.Outcome == Cancelled) && a.counted {
 		// Danger: a time-out or a cancel may stop no work. If given-up attempts left the count, each would
 		// make room for one more at a full backend. It stays the longer the more in a row the backend has
 		// let pass.
@@ -395,7 +444,7 @@
 		stay := min(g.latency*float64(a.on.missed), j.class.Deadline)
 		a.on.ghosts = append(a.on.ghosts, ghost{a.sent, g.now + stay, j.level})
 	} else {
-		g.leave(a.on, j.level)
+		g.uncount(a, j.level)
 	}
 	g.observe(j, a, e)
 	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && neverRan(e.Outcome) {
@@ -447,10 +496,13 @@
 // where allowed a second copy goes elsewhere.
 func (g *Gateway) late(j *job, n int) {
 	a := &j.attempts[n]
+	if j.streams {
+		return
+	}
 	if a.on.lastOK < a.sent {
 		g.blame(a.on)
 	}
-	if j.done || j.streams || len(j.attempts) != n+1 || g.full(0) {
+	if j.done || len(j.attempts) != n+1 || g.full(0) {
 		return
 	}
 	if g.set.CanCopy && j.customer.terms.places == 0 {
@@ -497,6 +549,9 @@
 func (g *Gateway) observe(j *job, a *attempt, e AttemptEnd) {
 	s := a.on
 	took := g.now - a.sent
+	if a.answered > 0 {
+		took = a.answered - a.sent
+	}
 	switch e.Outcome {
 	case Served:
 		s.lastOK, s.missed = g.now, 0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1219,3 +1219,74 @@
 		t.Error("no timer")
 	}
 }
+
+// A body on its way is no work for a backend; its request's time counts from its end.
+func TestOpenRequest(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].Rate = 0
+	d := start(t, set, some(2)...)
+	open := func() (RequestID, Send) {
+		d.nextID++
+		out := d.handle(Request{ID: d.nextID, Class: 1, Plan: 1, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2,
+			Open: true})
+		s := one[Send](t, out)
+		if s.Timeout != 0 || d.g.inFlight != 0 {
+			t.Fatalf("time-out %f, %d in flight while the body comes", s.Timeout, d.g.inFlight)
+		}
+		return d.nextID, s
+	}
+	id, s := open()
+	d.now += 60 // a slow client
+	for _, kind := range []uint64{timerStart, timerEnd, timerLate} {
+		if out := d.handle(Timer{Token: kind<<56 | uint64(id)}); len(find[Refuse](out))+len(find[Fail](out)) != 0 {
+			t.Fatalf("given up while its body comes: %v", out)
+		}
+	}
+	out := d.handle(Whole{Request: id, Deadline: d.now + 2})
+	if d.g.inFlight != 1 {
+		t.Errorf("%d in flight once it is whole", d.g.inFlight)
+	}
+	ends := false
+	for _, timer := range find[SetTimer](out) {
+		ends = ends || timer.Token>>56 == timerEnd && timer.In > 0.9 && timer.In < 2
+	}
+	if !ends {
+		t.Errorf("no end for it in %v", out)
+	}
+	d.now += 0.1
+	d.handle(AttemptEnd{Request: id, Backend: s.Backend, Outcome: Served})
+	if d.g.inFlight != 0 || d.g.latency > 0.2 {
+		t.Errorf("%d in flight at the end, latency %f", d.g.inFlight, d.g.latency)
+	}
+	// What broke off before its end never ran, and is not sent again once its body is used up.
+	id, s = open()
+	out = d.handle(AttemptEnd{Request: id, Backend: s.Backend, Outcome: ConnectFailed, Spent: true})
+	if n := len(find[Send](out)); n != 0 {
+		t.Errorf("sent %d more times", n)
+	}
+	one[Refuse](t, out)
+}
+
+// An answer that has begun is neither cut off nor made again, and its transfer says nothing of the backend.
+func TestEstablished(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].Rate = 0
+	d := start(t, set, some(1)...)
+	id := d.ask(0, 1, 1)
+	s := one[Send](t, d.last)
+	d.now += 0.1
+	d.handle(Established{Request: id, Backend: s.Backend, Took: 0.1})
+	if d.g.inFlight != 0 {
+		t.Errorf("%d in flight while the answer is on its way", d.g.inFlight)
+	}
+	d.now += 30
+	for _, kind := range []uint64{timerEnd, timerLate} {
+		if out := d.handle(Timer{Token: kind<<56 | uint64(id)}); len(find[Cancel](out))+len(find[Refuse](out)) != 0 {
+			t.Errorf("cut off: %v", out)
+		}
+	}
+	d.handle(AttemptEnd{Request: id, Backend: s.Backend, Outcome: Served})
+	if d.g.inFlight != 0 || d.g.latency > 0.2 || d.g.servers[s.Backend].fail != 0 {
+		t.Errorf("%d in flight, latency %f, failures %f", d.g.inFlight, d.g.latency, d.g.servers[s.Backend].fail)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -80,6 +80,7 @@
 	level               int
 	giveUp              float64 // an answer after this earns nothing
 	paid, done, streams bool    // its units are taken; it is over; its answer has begun
+	spent               bool    // it can't be sent again
 	attempts            []attempt
 	out                 int
 	mayRun              bool    // an attempt may have run, or is out
@@ -91,9 +92,11 @@
 type patience struct{ last, known float64 }
 
 type attempt struct {
-	on    *server
-	sent  float64
-	ended bool
+	on       *server
+	sent     float64 // whole
+	answered float64 // when its answer began; 0: it has not, or came at once
+	counted  bool    // among the work in flight
+	ended    bool
 }
 
 // ghost is an attempt that was given up and may still take up its backend.
@@ -132,7 +135,15 @@
 	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id), Request: id})
 }
 
-// leave takes an attempt out of the counts of work in flight.
+// uncount takes an attempt out of the work in flight, if it is counted there.
+func (g *Gateway) uncount(a *attempt, level int) {
+	if a.counted {
+		a.counted = false
+		g.leave(a.on, level)
+	}
+}
+
+// leave takes work out of the counts of what is in flight.
 func (g *Gateway) leave(s *server, level int) {
 	s.inFlight--
 	s.levels[level]--
@@ -282,7 +293,9 @@
 }
 
 // enter counts an attempt as work in flight.
-func (g *Gateway) enter(s *server, level int) {
+func (g *Gateway) enter(a *attempt, level int) {
+	a.counted = true
+	s := a.on
 	s.inFlight++
 	s.levels[level]++
 	g.inFlight++
--- a/rules/types.go
+++ b/rules/types.go
@@ -186,6 +186,14 @@
 	Sent      float64 // clock time at which the client sent it; 0: just now
 	Deadline  float64 // clock time at which the client stops waiting
 	Repeat    bool    // marked by the client as another try
+	Open      bool    // the end of its body is still to come; its time counts from then
+}
+
+// Whole says that the end of a request's body has come. It can only come while
+// an attempt takes the body on, and the attempt counts as sent now.
+type Whole struct {
+	Request  RequestID
+	Deadline float64
 }
 
 // Established says that a streamed answer has begun.
@@ -204,6 +212,7 @@
 	Outcome  Outcome
 	Took     float64
 	Done     bool    // the request is over
+	Spent    bool    // its body is used up: it can't be sent again
 	Use      int     // 1 + use of the customer in percent, 0: not told
 	Units    float64 // true units, 0: not told
 	LoadData []float64
@@ -308,6 +317,7 @@
 }
 
 func (Backends) event()     {}
+func (Whole) event()        {}
 func (HandOver) event()     {}
 func (Adopt) event()        {}
 func (Neighbour) event()    {}
