Let calls by hand and the old process's end rest on a new process only once it serves

A process that took the books and then stalled would have had calls by hand wait for its word, and the old one leave its clients to it. It now says when it serves, and is left after 6 s, when the platform has given it up as well.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,7 @@
 	server := front.server()
 	failed := make(chan error, 2) // one for each server
 	wg.Go(func() { failed <- server.Serve(limited) })
+	pair.serving()
 	if operators != nil {
 		call := (&control{figures: &figures, ready: front.takesClients, byHand: pair.byHand}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,6 +21,7 @@
 	handoverName = "handover.sock"
 	joinTimeout  = 2 * time.Second // for the books; the platform waits 6 s for a new process
 	joinRetry    = 20 * time.Millisecond
+	upTimeout    = 6 * time.Second        // for a new process to serve; the platform waits no longer
 	passTimeout  = 700 * time.Millisecond // for the other's word on a call, of which the caller waits 1 s
 )
 
@@ -35,6 +36,7 @@
 type note struct {
 	Join    bool   `json:",omitempty"` // new to old: the books, please
 	Books   *books `json:",omitempty"` // old to new
+	Serving bool   `json:",omitempty"` // new to old: clients are taken
 	Leaving bool   `json:",omitempty"` // old to new: no more clients are taken
 	Call    *word  `json:",omitempty"` // an operator's
 	Said    *word  `json:",omitempty"` // the answer to one
@@ -119,6 +121,7 @@
 	mu     sync.Mutex
 	other  *link // nil: there is none
 	heir   bool  // the other is the newer
+	up     bool  // and serves
 	ended  bool
 	hearer sync.WaitGroup
 }
@@ -198,6 +201,10 @@
 			l.send(note{Said: n.Call})
 		case n.Said != nil:
 			l.answered(*n.Said)
+		case n.Serving:
+			h.mu.Lock()
+			h.up = true
+			h.mu.Unlock()
 		case n.Leaving:
 			h.loop.post(told{rules.Leaving})
 		}
@@ -219,7 +226,7 @@
 			close(h.oldest)
 		}
 	}
-	h.heir = false
+	h.heir, h.up = false, false
 }
 
 // serve gives the books to the process after this one, until ctx ends. Its file
@@ -292,19 +299,46 @@
 		return errors.New("this process has ended")
 	}
 	slog.Info("books handed over")
+	time.AfterFunc(upTimeout, func() { h.drop(l) })
 	return nil
 }
 
+// serving tells the process before that this one takes clients.
+func (h *handover) serving() {
+	h.mu.Lock()
+	other, heir := h.other, h.heir
+	h.mu.Unlock()
+	if other != nil && !heir {
+		other.send(note{Serving: true})
+	}
+}
+
+// drop leaves a new process that has stalled: half of the gateway must not wait
+// for one that the platform has given up.
+func (h *handover) drop(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.other == l && !h.up {
+		slog.Error("the new process does not serve")
+		l.conn.Close()
+	}
+}
+
 // byHand tells both processes an operator's word. It is true to say yes only
 // once both have it.
 func (h *handover) byHand(id string, offline bool) (known bool, err error) {
 	known = h.loop.byHand(id, offline)
 	h.mu.Lock()
-	other := h.other
+	other, starting := h.other, h.heir && !h.up
 	h.mu.Unlock()
 	if other == nil {
 		return known, nil
 	}
+	if starting {
+		// It reads this before it serves, and may never do either.
+		other.send(note{Call: &word{ID: id, Offline: offline}})
+		return known, nil
+	}
 	theirs, err := other.pass(id, offline)
 	if err != nil {
 		h.mu.Lock()
@@ -321,9 +355,9 @@
 // whether that one takes them.
 func (h *handover) leave() bool {
 	h.mu.Lock()
-	other, heir := h.other, h.heir
+	other, up := h.other, h.heir && h.up
 	h.mu.Unlock()
-	return other != nil && heir && other.send(note{Leaving: true}) == nil
+	return other != nil && up && other.send(note{Leaving: true}) == nil
 }
 
 // close ends the connection to the other process and waits for its reader.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -148,3 +148,42 @@
 		t.Errorf("the new process: status %d", status)
 	}
 }
+
+// A process that has the books and stalls holds up neither calls by hand nor the
+// end of the old one.
+func TestNewProcessStalls(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dir := t.TempDir()
+	old := newRigOn(t, l, dir, backend)
+	conn, err := net.Dial("unix", filepath.Join(dir, handoverName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	stalled := newLink(conn)
+	var n note
+	if err := stalled.send(note{Join: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := stalled.in.Decode(&n); err != nil || n.Books == nil || len(n.Books.Listing.Instances) != 1 {
+		t.Fatalf("books %+v, %v", n.Books, err)
+	}
+	if status, _ := old.operate(t, "POST", "/control/backends/"+backend.address()+"/offline"); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if err := stalled.in.Decode(&n); err != nil || n.Call == nil || !n.Call.Offline {
+		t.Errorf("the word was not passed on: %+v, %v", n, err)
+	}
+	old.stop()
+	old.until(t, http.StatusServiceUnavailable) // it still answers on new connections
+	if err := wait(t, old.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
