--- a/rules/rules.go
+++ b/rules/rules.go
@@ -884,9 +884,11 @@
 			case c.units >= j.Units:
 				c.units -= j.Units
 				// Danger: with a counter that answers now and then, leases and the local share would
-				// add up to more than the quota. So leases count against the share too.
+				// add up to more than the quota. So leases count against the share too, as far as it
+				// has saved anything: a debt would keep a customer that spends by leases out of an
+				// outage's share for as long as its whole burst lasts.
 				c.takeLocal(g.now, 0)
-				c.local = max(c.local-j.Units, -c.terms.localBurst)
+				c.local = max(c.local-j.Units, 0)
 			case c.asking > 0:
 				return
 			case g.now < c.dryUntil:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1290,3 +1290,51 @@
 		t.Errorf("%d in flight, latency %f, failures %f", d.g.inFlight, d.g.latency, d.g.servers[s.Backend].fail)
 	}
 }
+
+// A customer that has lived on leases has its local share from the first second of an outage on: what it spent
+// was the counter's to grant, and is no debt.
+func TestLeasesLeaveNoDebtOnTheLocalShare(t *testing.T) {
+	set := testSettings()
+	set.CanCopy = false
+	d := start(t, set, some(4)...)
+	totals, down := map[uint64]float64{}, false
+	sent := 0
+	// follow answers the calls and sends that actions bring about, until there are none.
+	follow := func(out []Action) {
+		for len(out) > 0 {
+			var next []Action
+			for _, call := range find[Count](out) {
+				totals[call.Name] += call.Amount
+				reply := CounterReply{Name: call.Name, Total: totals[call.Name]}
+				if down {
+					reply = CounterReply{Name: call.Name, Outcome: TimedOut}
+				}
+				next = append(next, d.handle(reply)...)
+			}
+			for _, s := range find[Send](out) {
+				sent++
+				next = append(next, d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Outcome: Served})...)
+			}
+			out = next
+		}
+	}
+	ask := func() {
+		d.now += 0.25
+		follow(d.handle(Timer{Token: timerHouse << 56}))
+		d.nextID++
+		follow(d.handle(Request{ID: d.nextID, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2}))
+	}
+	for range 40 {
+		ask() // four units a second: more than the quota, of which the local share is one
+	}
+	if c := d.g.customers[1]; sent < 20 || c.units >= 1 {
+		t.Fatalf("sent %d, %f units left: not a customer that lives on leases", sent, c.units)
+	}
+	sent, down = 0, true
+	for range 12 { // 3 s
+		ask()
+	}
+	if sent < 2 || sent > 4 { // one unit a second is this gateway's part
+		t.Errorf("sent %d in 3 s of an outage", sent)
+	}
+}
