--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -466,7 +466,7 @@
 		} else if tooLong {
 			outcome := a.pass(resp, body, c)
 			reuse := outcome == rules.Served && !resp.Close && c.r.Buffered() == 0
-			return result{outcome: outcome, units: trueUnits(resp.Header)}, reuse
+			return result{outcome: outcome}, reuse
 		}
 		if err != nil {
 			return result{outcome: broken(err), err: err}, false
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -262,9 +262,11 @@
 		return false
 	}
 	x.begun, a.rest = true, start.rest
+	units := trueUnits(start.header)
 	start.header = passedOn(start.header)
 	start.header.Del(loadHeader) // for gateways, not for clients
-	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent})
+	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent,
+		Units: units})
 	if l.clock.now()-x.ask.Sent > x.class.Aim {
 		l.trace(x, "served late")
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -416,6 +416,7 @@
 		return
 	}
 	j.streams = true
+	g.settle(j, e.Units)
 	if a := &j.attempts[e.Attempt]; !a.ended {
 		a.answered = g.now
 		g.uncount(a, j.level)
@@ -450,8 +451,8 @@
 	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && neverRan(e.Outcome) {
 		j.mayRun = false // proved: no attempt has run
 	}
-	if e.Outcome == Served && g.set.UnitsSettled && e.Units > 0 {
-		c.units -= e.Units - j.Units // the guess is put right
+	if e.Outcome == Served {
+		g.settle(j, e.Units)
 	}
 	switch {
 	case j.done:
@@ -467,6 +468,13 @@
 	g.admit(j.customer)
 }
 
+// settle puts the guess right, once the true units are told.
+func (g *Gateway) settle(j *job, units float64) {
+	if g.set.UnitsSettled && units > 0 {
+		j.customer.units -= units - j.Units
+	}
+}
+
 // lay ends the ghosts of s that were sent before a served attempt, since backends take work in order, and
 // those that have outlived all patience.
 func (g *Gateway) lay(s *server, served float64) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1275,7 +1275,12 @@
 	id := d.ask(0, 1, 1)
 	s := one[Send](t, d.last)
 	d.now += 0.1
-	d.handle(Established{Request: id, Backend: s.Backend, Took: 0.1})
+	d.g.set.UnitsSettled = true
+	had := d.g.customers[1].units
+	d.handle(Established{Request: id, Backend: s.Backend, Took: 0.1, Units: 3})
+	if c := d.g.customers[1]; c.units != had-2 { // of which the request named one
+		t.Errorf("%f units were %f before three were told", c.units, had)
+	}
 	if d.g.inFlight != 0 {
 		t.Errorf("%d in flight while the answer is on its way", d.g.inFlight)
 	}
--- a/rules/types.go
+++ b/rules/types.go
@@ -202,6 +202,7 @@
 	Attempt int
 	Backend BackendID
 	Took    float64
+	Units   float64 // true units, 0: not told
 }
 
 // AttemptEnd is the one end of an attempt.
