--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -283,3 +283,25 @@
 		}
 	}
 }
+
+// Long bodies beyond the memory for them are refused, and counted so.
+func TestNoMemoryForLongBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p := newPipedFrontend(t)
+		for range cap(f.bodies) {
+			f.bodies <- struct{}{}
+		}
+		client, server := net.Pipe()
+		defer client.Close()
+		p.conns <- server
+		io.WriteString(client, ask("POST", "booking", "", "Content-Length", "1000000"))
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+			t.Fatalf("%v %v", resp, err)
+		}
+		if n := f.service.Load().counts[1].dropped.Load(); n != 1 {
+			t.Errorf("%d counted as dropped", n)
+		}
+		io.Copy(io.Discard, client) // the server closes it
+	})
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -296,6 +296,7 @@
 		return 0, nil
 	}
 	if err := f.bodies.take(r.Context()); err != nil {
+		x.counts.dropped.Add(1)
 		return http.StatusServiceUnavailable, err
 	}
 	x.ask.Open = true
