Stream bodies of any length through one path and one memory budget

Bodies up to 64 KiB were held whole and longer ones, up to 32 MB, ran through a second path with a budget of places for each direction. An answer without a length that dripped below 64 KiB reached its client when it had ended; an answer that came before the end of an upload was not heard; trailers, HEAD, 204, 304 and 1xx did not pass; a body was limited to 32 MB.

Now there is one path: a start that is held until it is whole, 64 KiB long or 100 ms old, and a rest that flows through a window. All bodies share a quarter of memory_mb, in bytes; an answer always goes on, an upload waits up to 2 s and is refused with Retry-After. Either side of a transfer is given up by a longest pause and a least rate over the time spent waiting for it: before, a backend's stall counted against the client. A second process of an upgrade halves the budget. limits.body_mb limits a client's body where an operator wants it. Heads that tell their length twice get 400, from a backend a failed attempt. net/http waits for the whole of a chunk, so chunks of answers are read by a reader of our own, and those of clients as far as they have come.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,9 +9,9 @@
 	"math"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,9 +21,8 @@
 )
 
 const (
-	mostBody     = 64 << 10               // bytes of a body, either way
+	mostUnread   = 64 << 10               // bytes of an answer that is not passed on, which are read for its connection's sake
 	mostHead     = 64 << 10               // bytes of an answer's head
-	shortAnswer  = 4 << 10                // bytes of an answer that takes no memory worth counting
 	mostInterim  = 8                      // 1xx answers before the real one
 	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
 	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
@@ -37,9 +35,8 @@
 // result is what became of an attempt.
 type result struct {
 	outcome rules.Outcome
-	err     error       // why, where no whole answer came
-	header  http.Header // of a served answer
-	body    []byte
+	err     error   // why, where no whole answer came
+	answer  answer  // if served
 	units   float64 // that the request really took from the quota; 0: not told
 	cut     error   // why the client's body did not come whole; nothing has run then
 	spent   bool    // the client's body can't be sent again
@@ -60,8 +57,12 @@
 	err      error
 	rest     *download // an answer that is on its way to the client
 
-	// begun tells the loop that a long answer has begun, which tells the client.
-	begun func(*download, answer) bool
+	// begun tells the loop that an answer is let go, which tells the client.
+	begun func(answer) bool
+	// interim tells it of a 1xx.
+	interim func(answer)
+
+	last atomic.Bool // the end of a streamed body is about to be written
 
 	ctx    context.Context // of the dial
 	cancel context.CancelFunc
@@ -105,16 +106,60 @@
 // backendConn is one connection to a backend, for one request at a time.
 type backendConn struct {
 	net.Conn
-	raw  syscall.RawConn   // for a look at the socket; nil where it has none
+	raw  syscall.RawConn // for a look at the socket; nil where it has none
+	look func(uintptr) bool
+	seen error             // by the last look
 	left *io.LimitedReader // what an answer may still take, headers among it
-	r    *bufio.Reader     // on left
+	r    *bufio.Reader     // on left, which is on the connection
 	w    *bufio.Writer
+	read framing
 	home *target
 	idle time.Time     // since when
 	uses int           // requests so far
 	rest time.Duration // idle before the last use
 }
 
+// Read reads along, for answers that could be read in two ways.
+func (c *backendConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.read(p[:n])
+	return n, err
+}
+
+func newBackendConn(conn net.Conn, home *target) *backendConn {
+	c := &backendConn{Conn: conn, w: bufio.NewWriter(conn), home: home}
+	c.left = &io.LimitedReader{R: c}
+	c.r = bufio.NewReader(c.left)
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	c.look = func(fd uintptr) bool {
+		c.seen = peek(fd)
+		return !errors.Is(c.seen, syscall.EAGAIN)
+	}
+	return c
+}
+
+// await waits until there is something to read, which it leaves where it is. So
+// a wait takes no buffer. Danger: a socket tells of a reset once; the next look
+// takes it for the end.
+func (c *backendConn) await() error {
+	if c.raw == nil {
+		return nil
+	}
+	if err := c.raw.Read(c.look); err != nil {
+		return err
+	}
+	return c.seen
+}
+
+// peek looks whether a socket has something to say, if only its end.
+func peek(fd uintptr) error {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err
+}
+
 // alive looks, without waiting, whether an idle connection still stands and has
 // nothing to say. Danger: what is written to one that the other side has closed
 // ends as a reset, which is no proof that it had no effect.
@@ -132,9 +177,7 @@
 	conn.SetReadDeadline(time.Time{})
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		quiet = errors.Is(peek(fd), syscall.EAGAIN)
 		return true
 	})
 	return err == nil && quiet
@@ -157,17 +200,16 @@
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
-	tries          *atomic.Int64
-	answers        budget
+	figures        *figures
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
 	open    int // connections and dials
 }
 
-func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, tries *atomic.Int64, answers budget) *pools {
+func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, f *figures) *pools {
 	return &pools{connectTimeout: connectTimeout, idleLimit: idleLimit(keepAlive),
-		mostOpen: mostOpen, tries: tries, answers: answers, targets: map[rules.BackendID]*target{}}
+		mostOpen: mostOpen, figures: f, targets: map[rules.BackendID]*target{}}
 }
 
 // keep sets how many connections there may be.
@@ -360,8 +402,7 @@
 	if err != nil {
 		return nil, err
 	}
-	left := &io.LimitedReader{R: conn}
-	return &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: t}, nil
+	return newBackendConn(conn, t), nil
 }
 
 // attempt sends the request and waits for what comes back. An error before the
@@ -375,21 +416,22 @@
 		p.discard(c)
 		return result{outcome: rules.ConnectFailed}
 	}
-	if err := a.write(c); err != nil {
-		a.release()
-		p.discard(c)
-		res := result{outcome: rules.ConnectFailed, err: err}
-		if u := a.x.upload; u != nil {
-			if res.cut, res.spent = u.failed(), u.spent(); res.cut != nil || u.closed.Load() {
-				res.outcome = rules.Moot // the backend is not to blame
-			}
+	var res result
+	var reuse bool
+	c.uses++
+	c.read.begin()
+	if a.x.upload != nil {
+		res, reuse = p.stream(a, c)
+	} else {
+		c.SetDeadline(a.until)
+		if err := a.write(c); err != nil {
+			a.release()
+			p.discard(c)
+			return result{outcome: rules.ConnectFailed, err: err}
 		}
-		return res
+		p.figures.tries.Add(1)
+		res, reuse = p.answer(a, c)
 	}
-	p.tries.Add(1)
-	c.uses++
-	res, reuse := p.answer(a, c)
-	res.spent = a.x.upload != nil
 	if res.err != nil {
 		res.err = fmt.Errorf("request %d after %v idle: %w", c.uses, c.rest, res.err)
 	}
@@ -401,97 +443,236 @@
 	return res
 }
 
-// write sends the request. A long body sets the pace itself: the attempt's own
-// time begins with its last byte.
+// write sends a request whose body is whole.
 func (a *attempt) write(c *backendConn) error {
+	x := a.x
+	length := int64(len(x.body))
+	if x.trailer != nil {
+		length = -1 // only chunks have trailers
+	}
+	a.writeHead(c.w, time.Until(a.until), length)
+	if length >= 0 {
+		c.w.Write(x.body) // an error stays
+		return c.w.Flush()
+	}
+	writeChunk(c.w, x.body)
+	writeTrailer(c.w, x.trailer)
+	return c.w.Flush()
+}
+
+// writeHead writes what goes to the backend: the client's own, with the time
+// that this attempt has, and the length of the body or, below 0, none.
+func (a *attempt) writeHead(w *bufio.Writer, left time.Duration, length int64) {
+	x := a.x
+	var digits [20]byte
+	for _, part := range [...]string{x.method, " ", x.uri, " HTTP/1.1\r\nHost: ", x.host, "\r\n" + leftHeader + ": "} {
+		w.WriteString(part)
+	}
+	w.Write(strconv.AppendInt(digits[:0], max(left.Milliseconds(), 1), 10))
+	w.WriteString("\r\n")
+	x.header.Write(w)
+	switch {
+	case length > 0 || length == 0 && x.method == http.MethodPost:
+		w.WriteString("Content-Length: ")
+		w.Write(strconv.AppendInt(digits[:0], length, 10))
+		w.WriteString("\r\n")
+	case length < 0:
+		w.WriteString("Transfer-Encoding: chunked\r\n")
+		if len(x.announced) > 0 {
+			w.WriteString("Trailer: " + strings.Join(x.announced, ", ") + "\r\n")
+		}
+	}
+	w.WriteString("\r\n")
+}
+
+func writeChunk(w *bufio.Writer, p []byte) {
+	if len(p) == 0 {
+		return // it would be the end
+	}
+	var digits [20]byte
+	w.Write(append(strconv.AppendInt(digits[:0], int64(len(p)), 16), '\r', '\n'))
+	w.Write(p)
+	w.WriteString("\r\n")
+}
+
+func writeTrailer(w *bufio.Writer, trailer http.Header) {
+	w.WriteString("0\r\n")
+	trailer.Write(w)
+	w.WriteString("\r\n")
+}
+
+// stream sends a request whose body is still to come, and listens meanwhile: the
+// answer may come first.
+func (p *pools) stream(a *attempt, c *backendConn) (result, bool) {
 	u := a.x.upload
-	if u == nil {
-		c.SetDeadline(a.until)
-		r := a.x.request(time.Until(a.until))
-		if len(a.x.body) > 0 {
-			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.x.body)), int64(len(a.x.body))
+	c.SetDeadline(a.until) // none, unless the body is whole by now
+	u.take(a)
+	sent := make(chan error, 1)
+	p.figures.up.open.Add(1)
+	go func() {
+		defer p.figures.up.open.Add(-1)
+		defer u.done(a)
+		why, err := a.send(c)
+		if err == nil {
+			p.figures.tries.Add(1)
 		}
-		if err := r.Write(c.w); err != nil {
-			return err
+		p.figures.up.end(why, a.x.header.Get(idHeader), err)
+		if sent <- err; err != nil {
+			c.Close() // and with it the wait for an answer
+		}
+	}()
+	res, reuse := p.answer(a, c)
+	var err error
+	select {
+	case err = <-sent:
+	default:
+		c.Close() // no more goes out than has
+		reuse = false
+		if err = errCutShort; a.last.Load() {
+			err = <-sent // the end was about to be written
 		}
-		return c.w.Flush()
 	}
-	moved := func() { c.SetDeadline(time.Now().Add(stall)) }
-	moved()
-	r := a.x.request(u.left)
-	r.Body, r.ContentLength = io.NopCloser(u.reader(a.x.body, moved)), u.length
-	if err := r.Write(c.w); err != nil {
-		return err
+	var cut error
+	res.spent, cut = u.leave()
+	if err == nil || res.outcome != rules.Broken && res.outcome != rules.TimedOut {
+		return res, reuse && err == nil // an answer, or no word after the whole
 	}
-	a.until = u.until
-	c.SetDeadline(a.until)
-	return c.w.Flush()
+	// It broke before its end was written, so nothing has run.
+	res.outcome, res.err, res.cut = rules.ConnectFailed, err, cut
+	if cut != nil || errors.Is(err, errCutShort) && u.answered() {
+		res.outcome = rules.Moot // the backend is not to blame
+	}
+	return res, false
 }
 
-// request is what goes to the backend: the client's own, with the time that
-// this attempt has.
-func (x *exchange) request(left time.Duration) *http.Request {
-	header := make(http.Header, len(x.header))
-	for k, v := range x.header {
-		header[k] = v
+// send writes the body of an upload as it comes, and tells why it ended.
+func (a *attempt) send(c *backendConn) (cause, error) {
+	u, to := a.x.upload, pace{pause: stall, grace: stall, rate: leastRate}
+	a.writeHead(c.w, u.left, u.length)
+	for at, total := 0, int64(0); ; {
+		piece, err := u.next(a, at)
+		if err != nil && err != io.EOF {
+			return bodyCause(err), err
+		}
+		at += len(piece)
+		total += int64(len(piece))
+		if err == io.EOF || total == u.length {
+			a.last.Store(true)
+		}
+		before := time.Now()
+		c.SetWriteDeadline(before.Add(to.wait()))
+		if u.length >= 0 {
+			c.w.Write(piece)
+		} else {
+			writeChunk(c.w, piece)
+		}
+		if err == io.EOF && u.length < 0 {
+			writeTrailer(c.w, trailers(u.request.Trailer))
+		}
+		if err := c.w.Flush(); err != nil {
+			return slowOr(err, backendSlow, backendBroke), err
+		}
+		if err == io.EOF {
+			return endedWhole, nil
+		}
+		to.moved(len(piece), time.Since(before))
 	}
-	header[leftHeader] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	return &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
 }
 
 // answer reads what comes back and tells whether the connection may be used
-// again. A short body is read whole. A long one goes to the client as it comes.
+// again. A good answer is held until it is whole or let go.
 func (p *pools) answer(a *attempt, c *backendConn) (result, bool) {
 	asked := &http.Request{Method: a.x.method}
 	for range mostInterim {
 		c.left.N = mostHead
 		resp, err := http.ReadResponse(c.r, asked)
+		if err == nil && c.read.doubt {
+			err = errTwoWays
+		}
 		if err != nil {
 			return result{outcome: broken(err), err: err}, false
 		}
 		if resp.StatusCode/100 == 1 {
+			if resp.StatusCode == http.StatusSwitchingProtocols {
+				break // nobody asked for it
+			}
+			if resp.StatusCode != http.StatusContinue {
+				a.interim(answer{status: resp.StatusCode, header: resp.Header})
+			}
 			continue
 		}
 		c.left.N = noLimit
-		if resp.ContentLength < 0 || resp.ContentLength > shortAnswer {
-			if err := p.answers.take(a.ctx); err != nil {
-				return result{outcome: rules.Errored, err: err}, false
+		if !a.x.good(resp.StatusCode) {
+			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, mostUnread+1)) // its text is nothing to anybody
+			if err != nil {
+				return result{outcome: broken(err), err: err}, false
 			}
-			defer p.answers.give()
-		}
-		good := resp.StatusCode == http.StatusOK
-		body, err := readBody(resp.Body, resp.ContentLength)
-		if tooLong := errors.Is(err, errTooLong); tooLong && !good {
-			resp.Close, err = true, nil // its text is nothing to anybody
-		} else if tooLong {
-			outcome := a.pass(resp, body, c)
-			reuse := outcome == rules.Served && !resp.Close && c.r.Buffered() == 0
-			return result{outcome: outcome}, reuse
-		}
-		if err != nil {
-			return result{outcome: broken(err), err: err}, false
-		}
-		reuse := !resp.Close && c.r.Buffered() == 0
-		switch {
-		case resp.StatusCode == http.StatusOK:
-			return result{outcome: rules.Served, header: resp.Header, body: body, units: trueUnits(resp.Header)}, reuse
-		case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-			resp.Header.Get(notRunHeader) == "1":
-			return result{outcome: rules.Full}, reuse
+			outcome := rules.Errored
+			if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+				resp.Header.Get(notRunHeader) == "1" {
+				outcome = rules.Full
+			}
+			return result{outcome: outcome}, !resp.Close && n <= mostUnread && c.r.Buffered() == 0
 		}
-		return result{outcome: rules.Errored}, reuse
+		res := p.good(a, c, resp)
+		return res, res.outcome == rules.Served && !resp.Close && c.r.Buffered() == 0
 	}
 	return result{outcome: rules.Errored}, false
 }
 
-// pass hands a long answer over, of which the start has been read, and waits
-// until it has gone to the client or can't.
-func (a *attempt) pass(resp *http.Response, start []byte, c *backendConn) rules.Outcome {
-	d := newDownload(resp.Body, c)
-	if !a.begun(d, answer{status: http.StatusOK, header: resp.Header, body: start, length: resp.ContentLength, rest: d}) {
-		return rules.Cancelled // nobody is there to take it
+// good tells whether an answer of a backend is one for the client.
+func (x *exchange) good(status int) bool {
+	return status == http.StatusOK || status == http.StatusNoContent ||
+		status == http.StatusNotModified && (x.header.Get("If-None-Match") != "" || x.header.Get("If-Modified-Since") != "")
+}
+
+// good takes in an answer that is for the client.
+func (p *pools) good(a *attempt, c *backendConn, resp *http.Response) result {
+	start := answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength}
+	if resp.Body == http.NoBody {
+		return result{outcome: rules.Served, answer: start, units: trueUnits(resp.Header)}
+	}
+	d := &download{body: resp.Body, length: resp.ContentLength, conn: c, window: window{budget: &p.figures.bodies}, figures: p.figures, end: make(chan rules.Outcome, 1)}
+	most := mostHeld
+	if l := resp.ContentLength; l >= 0 && l < mostHeld {
+		most = int(l)
+	}
+	d.memory, most = p.figures.bodies.room(most)
+	if len(resp.TransferEncoding) > 0 {
+		d.chunks = &chunkedReader{r: c.r}
+		d.body = d.chunks
 	}
-	return <-d.end
+	d.start = newIntake(d.body, resp.ContentLength, most)
+	start.rest = d
+	begin := func() {
+		if !a.begun(start) {
+			d.drop() // nobody is there to take it
+		}
+	}
+	if l := resp.ContentLength; l < 0 || l > int64(c.r.Buffered()) {
+		defer time.AfterFunc(holdFor, func() {
+			if d.start.release() {
+				begin()
+			}
+		}).Stop()
+	}
+	whole, err := d.start.fill()
+	switch {
+	case d.start.released():
+		// The timer has let it go.
+	case whole:
+		start.body, start.rest, start.trailer = d.start.held, nil, d.trailers()
+		start.memory = p.figures.bodies.shrink(d.memory, len(start.body))
+		return result{outcome: rules.Served, answer: start, units: trueUnits(resp.Header)}
+	case err != nil:
+		p.figures.bodies.give(d.memory)
+		return result{outcome: broken(err), err: err}
+	default:
+		begin()
+	}
+	outcome := <-d.end
+	p.figures.bodies.give(d.memory)
+	return result{outcome: outcome}
 }
 
 // trueUnits reads what a request really took. The answer is the client's whatever
@@ -512,22 +693,9 @@
 	return rules.Broken
 }
 
-var errTooLong = errors.New("the body is too long")
+// errTwoWays says that an answer's length is told in more than one way.
+var errTwoWays = errors.New("the length of the answer is told twice")
 
-// readBody reads a whole body, of known length or not. Of one that turns out too
-// long it returns what has been read, which is nothing where that is known before.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length > mostBody {
-		return nil, errTooLong
-	}
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, mostBody+1))
-	if err == nil && len(body) > mostBody {
-		err = errTooLong
-	}
-	return body, err
-}
+// noLimit is what an answer may take once its head has been read: what is held
+// of it is bounded, and its length is not.
+const noLimit = math.MaxInt64
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,6 +28,7 @@
 	Cores     float64
 	MemoryMB  int
 	Sockets   int // file descriptors
+	BodyMB    int // megabytes that a client may send in one body; 0: any number
 	Known     Listing
 
 	// Of the environment, where the platform lets two processes of a gateway serve
@@ -51,6 +52,8 @@
 	leastSockets  = 128
 )
 
+func (c *Config) mostBody() int64 { return int64(c.BodyMB) << 20 }
+
 // ReadConfig reads the configuration file at path.
 func ReadConfig(path string) (Config, error) {
 	text, err := os.ReadFile(path)
@@ -71,6 +74,7 @@
 			Cores    float64 `json:"cores"`
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
+			BodyMB   int     `json:"body_mb"`
 		}
 		Known    Listing
 		Settings json.RawMessage
@@ -82,7 +86,7 @@
 		return Config{}, errors.New("no settings")
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Control: raw.Control, Discovery: raw.Discovery, Counter: raw.Counter,
-		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, BodyMB: raw.Limits.BodyMB, Known: raw.Known}
 	var err error
 	if c.Deployment, err = wire.ParseDeployment(raw.Settings); err != nil {
 		return Config{}, err
@@ -185,6 +189,8 @@
 		return fmt.Errorf("settings: %d attempts are none", c.MaxAttempts)
 	case c.Cores <= 0 || c.MemoryMB < leastMemoryMB || c.Sockets < leastSockets:
 		return fmt.Errorf("limits: %g cores, %d MB and %d sockets are too little", c.Cores, c.MemoryMB, c.Sockets)
+	case c.BodyMB < 0:
+		return fmt.Errorf("limits: a body of %d MB is none", c.BodyMB)
 	case c.Fleet < 1 || c.Rank < 0 || c.Rank >= c.Fleet:
 		return fmt.Errorf("settings: rank %d is not among %d gateways", c.Rank, c.Fleet)
 	case c.Tick <= 0 || c.ConnectTimeout <= 0 || c.KeepAlive <= 0:
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -48,10 +48,15 @@
 	uri    string
 	host   string
 	header http.Header // what goes on to a backend
-	body   []byte      // the whole, or the start of what upload goes on with
-	upload *upload     // nil: the body is whole
+	body   []byte      // the whole
+	memory int         // of the budget, for the body
+	upload *upload     // a body that is still to come; nil: body is all
 
-	// reply takes the one final answer; the loop sends it and never waits.
+	announced []string    // names of the body's trailers, as far as they are known
+	trailer   http.Header // of a whole body; nil: none
+
+	// reply takes the one final answer, and may take one of 1xx before; the loop
+	// sends them and never waits.
 	reply chan answer
 
 	service *service // that it was read under, and in it
@@ -68,25 +73,37 @@
 	attempts []*attempt
 }
 
-// abandon ends an answer that nobody takes, after the loop has ended.
-func (x *exchange) abandon() {
-	select {
-	case a := <-x.reply:
-		if a.rest != nil {
-			a.rest.finish(rules.Cancelled)
+// abandon ends answers that nobody takes, as their handler has gone.
+func (x *exchange) abandon(b *budget) {
+	for {
+		select {
+		case a := <-x.reply:
+			a.drop(b)
+		default:
+			return
 		}
-	default:
 	}
 }
 
 // answer is what a client is told.
 type answer struct {
 	status     int
+	served     bool    // a backend made it
 	retryAfter float64 // seconds; 0: no advice
 	header     http.Header
+	trailer    http.Header // behind the body; nil: none
 	body       []byte
-	length     int64     // of a body with a rest, or -1
-	rest       *download // what comes after body; nil: nothing
+	memory     int       // of the budget, for the body
+	length     int64     // of the body, or -1
+	rest       *download // the body, where it is let go; nil: it is whole
+}
+
+// drop frees what an answer takes that goes to nobody.
+func (a answer) drop(b *budget) {
+	b.give(a.memory)
+	if a.rest != nil {
+		a.rest.drop()
+	}
 }
 
 // frontend serves clients.
@@ -96,7 +113,7 @@
 	ready     atomic.Bool
 	leaving   atomic.Bool // connections are closed after their answer
 	mostConns int         // above it, connections are closed after their answer
-	bodies    budget
+	figures   *figures
 
 	mu     sync.Mutex
 	conns  int                   // open
@@ -109,8 +126,8 @@
 // length, and is set where they are read and written.
 func (f *frontend) server() *http.Server {
 	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnState: f.connState, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, firstKey{}, &firstRequest{accepted: time.Now()})
+		ConnState: f.connState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, firstKey{}, &firstRequest{accepted: time.Now(), conn: c})
 		}}
 	s.RegisterOnShutdown(f.closeFresh)
 	return s
@@ -123,6 +140,7 @@
 // client's time counts from the connection, so that a slow head takes from it.
 type firstRequest struct {
 	accepted time.Time
+	conn     net.Conn
 	over     bool // read and set by one request after the other
 }
 
@@ -205,6 +223,12 @@
 	}
 	control := http.NewResponseController(w)
 	defer requestOver(r)
+	if c := connOf(r); c != nil && c.doubt() {
+		w.Header().Set("Connection", "close")
+		control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		http.Error(w, "the length of a request is told twice", http.StatusBadRequest)
+		return
+	}
 	if r.ContentLength != 0 {
 		// The answer may come before the end of the body, and the server reads a part
 		// of what is left over.
@@ -216,39 +240,82 @@
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close") // the rest of its body may still come
 		}
+		if errors.Is(err, errCrowded) {
+			w.Header().Set("Retry-After", strconv.Itoa(budgetAdvice))
+		}
 		control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		http.Error(w, err.Error(), status)
 		return
 	}
+	defer func() { f.figures.bodies.give(x.memory) }()
 	if x.upload != nil {
-		defer f.bodies.give()
+		defer x.upload.free()
 	}
 	if !f.loop.post(arrival{x}) {
 		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		return
 	}
-	select {
-	case a := <-x.reply:
-		if f.leaving.Load() || !x.upload.over() {
-			w.Header().Set("Connection", "close")
-		}
-		control.SetWriteDeadline(time.Now().Add(writeTimeout))
-		a.write(w, control)
-		x.upload.close(control)
-	case <-r.Context().Done():
-		if !f.loop.post(clientGone{x}) {
-			x.abandon()
+	f.await(w, r, x, control)
+}
+
+// await gives the client what the loop says, or tells the loop that it has left.
+func (f *frontend) await(w http.ResponseWriter, r *http.Request, x *exchange, control *http.ResponseController) {
+	for {
+		select {
+		case a := <-x.reply:
+			if a.interim() {
+				if r.ProtoAtLeast(1, 1) {
+					control.SetWriteDeadline(time.Now().Add(writeTimeout))
+					a.writeInterim(w)
+				}
+				continue
+			}
+			if f.leaving.Load() || !x.upload.over() {
+				w.Header().Set("Connection", "close")
+			}
+			control.SetWriteDeadline(time.Now().Add(writeTimeout))
+			err := f.write(a, x.header.Get(idHeader), w, control)
+			if x.upload != nil {
+				x.upload.close(control)
+			}
+			if err != nil {
+				cutOff(r)
+			}
+		case <-r.Context().Done():
+			if !f.loop.post(clientGone{x}) {
+				x.abandon(&f.figures.bodies)
+			}
+		case <-f.loop.stopped:
+			x.abandon(&f.figures.bodies)
+			http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		}
-	case <-f.loop.stopped:
-		x.abandon()
-		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		return
 	}
 }
 
-// read takes a request in, whole, or says with which status it is turned down.
+// connOf returns the connection of a request, if it is one of the gateway's own.
+func connOf(r *http.Request) *limitedConn {
+	if first, ok := r.Context().Value(firstKey{}).(*firstRequest); ok {
+		c, _ := first.conn.(*limitedConn)
+		return c
+	}
+	return nil
+}
+
+// cutOff ends the connection of a client whose answer is not whole. It must not
+// take a part for the whole, as it would after a proper end in HTTP/1.0.
+func cutOff(r *http.Request) {
+	if c := connOf(r); c != nil && !r.ProtoAtLeast(1, 1) {
+		c.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// read takes a request in, as far as it is held, or says with which status it is
+// turned down.
 func (f *frontend) read(r *http.Request, control *http.ResponseController) (*exchange, int, error) {
 	now := f.loop.clock.now()
-	x := &exchange{method: r.Method, uri: originForm(r.RequestURI), host: r.Host, reply: make(chan answer, 1)}
+	x := &exchange{method: r.Method, uri: originForm(r.RequestURI), host: r.Host, reply: make(chan answer, 2)}
 	x.service = f.service.Load()
 	ask, err := x.service.parse(r)
 	if err != nil {
@@ -257,14 +324,14 @@
 	class := &x.service.Classes[ask.Class]
 	x.ask, x.class, x.counts, x.plan = ask, class, x.service.counts[ask.Class], x.service.PlanNames[ask.Plan]
 	switch key := r.Header.Get(keyHeader); {
-	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
+	case class.Effect == rules.Repeatable && r.Method != http.MethodGet && r.Method != http.MethodHead,
 		class.Effect != rules.Repeatable && r.Method != http.MethodPost:
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s does not fit the class", r.Method)
 	case class.Effect == rules.ByKey && key == "":
 		return nil, http.StatusBadRequest, errors.New(keyHeader + " is missing")
 	case len(key) > mostName:
 		return nil, http.StatusBadRequest, errors.New(keyHeader + " is too long")
-	case r.ContentLength > mostLong:
+	case x.service.mostBody > 0 && r.ContentLength > x.service.mostBody:
 		return nil, http.StatusRequestEntityTooLarge, errTooLong
 	}
 	if r.ContentLength != 0 {
@@ -276,35 +343,82 @@
 	x.ask.Sent = now
 	x.ask.Deadline += now - answerMargin
 	x.header = passedOn(r.Header)
+	delete(x.header, leftHeader) // each attempt has its own
 	return x, 0, nil
 }
 
-// readBody takes a short body in whole. Of a long one it takes the start, and
-// leaves the rest to the attempt.
+// readBody takes in the body of a request until it is whole or has to go on.
 func (f *frontend) readBody(x *exchange, r *http.Request, control *http.ResponseController) (int, error) {
-	body := &clientBody{body: r.Body, length: r.ContentLength, control: control, since: requestSince(r)}
-	long := r.ContentLength > mostBody
-	if !long {
-		var err error
-		x.body, err = readBody(body, r.ContentLength)
-		if long = errors.Is(err, errTooLong); err != nil && !long {
-			return uploadStatus(err), fmt.Errorf("body: %w", err)
+	long := r.ContentLength > mostHeld
+	held := int(r.ContentLength)
+	memory := held
+	switch {
+	case long:
+		held, memory = 0, leastWindow
+	case held < 0:
+		held, memory = mostHeld, mostHeld+leastWindow
+	}
+	if memory > uncounted {
+		if err := f.figures.bodies.take(r.Context(), memory); err != nil {
+			x.counts.dropped.Add(1)
+			f.figures.up.ended[noMemory].Add(1)
+			return http.StatusServiceUnavailable, err
 		}
+	} else {
+		memory = 0
+	}
+	rest := newClientBody(r, control, x.service.mostBody, &f.figures.up.bytes)
+	start := newIntake(rest, r.ContentLength, held)
+	whole, err := false, error(nil)
+	switch {
+	case long:
+	case r.ContentLength > 0:
+		whole, err = start.fill()
+	default:
+		whole, err = fillFor(start, holdFor)
 	}
-	if !long {
-		io.Copy(io.Discard, body) // to its end: only then does the server watch for a client that leaves
-		return 0, nil
+	if err != nil {
+		f.figures.bodies.give(memory)
+		f.figures.up.end(bodyCause(err), r.Header.Get(idHeader), err)
+		return uploadStatus(err), fmt.Errorf("body: %w", err)
 	}
-	if err := f.bodies.take(r.Context()); err != nil {
-		x.counts.dropped.Add(1)
-		return http.StatusServiceUnavailable, err
+	for name := range r.Trailer {
+		x.announced = append(x.announced, name)
+	}
+	if whole {
+		x.body, x.trailer, x.memory = start.held, trailers(r.Trailer), f.figures.bodies.shrink(memory, len(start.held))
+		return 0, nil
 	}
 	x.ask.Open = true
-	x.upload = &upload{rest: body, length: r.ContentLength, left: seconds(x.ask.Deadline)}
+	x.upload = &upload{request: r, length: r.ContentLength, left: seconds(x.ask.Deadline), budget: &f.figures.bodies,
+		start: start, rest: rest, memory: held, window: window{budget: &f.figures.bodies, own: leastWindow}}
 	x.upload.whole = func(until time.Time) { f.loop.post(uploaded{x, until}) }
 	return 0, nil
 }
 
+// fillFor fills an intake for so long. Longer than that, it goes on filling, and
+// the body is let go.
+func fillFor(in *intake, d time.Duration) (whole bool, err error) {
+	type end struct {
+		whole bool
+		err   error
+	}
+	ended := make(chan end, 1)
+	go func() { whole, err := in.fill(); ended <- end{whole, err} }()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case e := <-ended:
+		return e.whole, e.err
+	case <-timer.C:
+	}
+	if in.release() {
+		return false, nil
+	}
+	e := <-ended
+	return e.whole, e.err
+}
+
 // originForm takes the address off a request target that has one; to a backend
 // goes what is left.
 func originForm(target string) string {
@@ -400,43 +514,100 @@
 	return h
 }
 
-// write gives the answer to the client.
-func (a answer) write(w http.ResponseWriter, control *http.ResponseController) {
+// trailers returns what goes on of the headers behind a body, or nil.
+func trailers(h http.Header) http.Header {
+	var kept http.Header
+	for name, values := range h {
+		if len(values) > 0 && !slices.Contains(hopByHop, name) {
+			if kept == nil {
+				kept = http.Header{}
+			}
+			kept[name] = values
+		}
+	}
+	return kept
+}
+
+func (a answer) interim() bool { return a.status/100 == 1 }
+
+// writeInterim passes a 1xx on, whose headers are its own.
+func (a answer) writeInterim(w http.ResponseWriter) {
+	h := w.Header()
+	for k, v := range passedOn(a.header) {
+		h[k] = v
+	}
+	w.WriteHeader(a.status)
+	clear(h)
+}
+
+// write gives the answer to the client. An error says that it is not whole, and
+// that the client can't tell so far.
+func (f *frontend) write(a answer, id string, w http.ResponseWriter, control *http.ResponseController) error {
+	defer f.figures.bodies.give(a.memory)
 	h := w.Header()
 	for k, v := range a.header {
 		h[k] = v
 	}
-	if a.status != http.StatusOK {
+	if !a.served {
 		if a.retryAfter > 0 {
 			h["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(a.retryAfter*1000)/1000, 'f', -1, 64)}
 		}
 		h["Content-Length"] = []string{"0"}
 		w.WriteHeader(a.status)
-		return
+		return nil
 	}
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // the backend named none, and guessing costs time
 	}
-	if a.rest == nil {
+	if a.length < 0 && a.rest == nil && a.trailer == nil {
 		a.length = int64(len(a.body))
 	}
-	if a.length >= 0 {
+	if a.length >= 0 && a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.FormatInt(a.length, 10)}
 	}
-	w.WriteHeader(a.status)
-	_, err := w.Write(a.body) // an error means that the client has left
 	if a.rest == nil {
-		return
+		addTrailers(h, a.trailer) // before the head, so that the body goes in chunks
+		w.WriteHeader(a.status)
+		w.Write(a.body) // an error means that the client has left
+		return nil
 	}
-	outcome := rules.Cancelled
-	if err == nil && control.Flush() == nil {
-		outcome = a.rest.pass(w, control)
+	return f.stream(a, id, w, control)
+}
+
+// stream gives an answer to the client that is let go.
+func (f *frontend) stream(a answer, id string, w http.ResponseWriter, control *http.ResponseController) error {
+	d := a.rest
+	if !d.take() {
+		return errCutShort // the loop has dropped it, as the client has left
+	}
+	f.figures.down.open.Add(1)
+	defer f.figures.down.open.Add(-1)
+	w.WriteHeader(a.status)
+	outcome, err := rules.Cancelled, control.Flush()
+	if err == nil {
+		outcome, err = d.pass(w, control)
+	}
+	if outcome == rules.Served {
+		addTrailers(w.Header(), d.trailers())
+		if err = control.Flush(); err != nil {
+			outcome = rules.Cancelled
+		}
 	}
-	if outcome == rules.Served && control.Flush() != nil {
-		outcome = rules.Cancelled
+	switch outcome {
+	case rules.Served:
+		f.figures.down.end(endedWhole, "", nil)
+	case rules.Cancelled:
+		f.figures.down.end(slowOr(err, clientSlow, clientLeft), id, err)
+	default:
+		f.figures.down.end(slowOr(err, backendSlow, backendBroke), id, err)
 	}
-	a.rest.finish(outcome)
-	if outcome != rules.Served {
-		panic(http.ErrAbortHandler) // the client must not take a part for the whole
+	d.end <- outcome
+	return err
+}
+
+// addTrailers puts headers behind a body.
+func addTrailers(h, trailer http.Header) {
+	for name, values := range trailer {
+		h[http.TrailerPrefix+name] = values
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,20 +41,19 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, reloads, listener, operators)
+	return serve(ctx, c, reloads, listener, operators, newFigures(c))
 }
 
-func serve(ctx context.Context, c *Config, reloads <-chan Reload, listener, operators net.Listener) error {
+func serve(ctx context.Context, c *Config, reloads <-chan Reload, listener, operators net.Listener, figures *figures) error {
 	clients, backends := split(c.Sockets - reserved)
-	var figures figures
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, &figures.tries, newBudget(c.MemoryMB))
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, figures)
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{fresh: map[net.Conn]struct{}{}, bodies: newBudget(c.MemoryMB), mostConns: int(softShare * float64(clients))}
-	front.service.Store(figures.service(c.Deployment))
-	front.loop = newLoop(c, front.service.Load(), &figures, pools, calls, func() { front.ready.Store(true) })
+	front := &frontend{fresh: map[net.Conn]struct{}{}, figures: figures, mostConns: int(softShare * float64(clients))}
+	front.service.Store(figures.service(c.Deployment, c.mostBody()))
+	front.loop = newLoop(c, front.service.Load(), figures, pools, calls, func() { front.ready.Store(true) })
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -64,9 +63,12 @@
 	limited := newLimitListener(listener, clients)
 	pair := &handover{loop: front.loop, oldest: make(chan struct{}), paired: func(paired bool) {
 		clients, backends := split(c.Sockets - reserved)
-		if paired { // the descriptors are those of both
+		memory := bodyMemory(c.MemoryMB)
+		if paired { // the descriptors and the memory are those of both
 			clients, backends = split(c.Sockets/2 - reserved/2)
+			memory /= 2
 		}
+		figures.bodies.limit(memory)
 		limited.limit(clients)
 		front.keep(int(softShare * float64(clients)))
 		pools.keep(backends)
@@ -122,7 +124,7 @@
 				figures.loads.Add(1)
 				slog.Info("reloaded", "discovery", next.Discovery, "counter", next.Counter,
 					"deployment", fmt.Sprintf("%+v", next.Deployment))
-				in := figures.service(next.Deployment)
+				in := figures.service(next.Deployment, next.mostBody())
 				pools.retune(seconds(next.ConnectTimeout), seconds(next.KeepAlive))
 				front.loop.post(retuned{in})
 				front.service.Store(in) // the loop knows it before any request that is read under it
@@ -151,7 +153,7 @@
 	wg.Go(func() { failed <- server.Serve(limited) })
 	pair.serving()
 	if operators != nil {
-		call := (&control{figures: &figures, ready: front.takesClients, byHand: pair.byHand}).server()
+		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
 		defer call.Close() // they may call until the end
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -91,6 +91,45 @@
 type limitedConn struct {
 	net.Conn
 	left func()
+
+	mu   sync.Mutex
+	read framing
+}
+
+// Read reads along, for heads that could be read in two ways.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read.read(p[:n])
+	return n, err
+}
+
+func (c *limitedConn) doubt() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.doubt
+}
+
+// bodies is how many bytes of bodies have come.
+func (c *limitedConn) bodies() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.data
+}
+
+// before is how many had come before the last head.
+func (c *limitedConn) before() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.passed
+}
+
+// reset makes the connection's end one that the peer can tell from a proper one.
+func (c *limitedConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
 }
 
 func (c *limitedConn) Close() error {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -24,15 +24,19 @@
 type (
 	arrival    struct{ x *exchange }
 	clientGone struct{ x *exchange }
-	uploaded   struct { // a long body has come whole
+	uploaded   struct { // the rest of a body has come
 		x     *exchange
 		until time.Time
 	}
-	answerBegun struct { // a long answer has
+	answerBegun struct { // an answer is let go
 		a        *attempt
 		answer   answer
 		accepted chan<- bool // has room for one
 	}
+	interim struct { // an answer before the answer
+		a      *attempt
+		answer answer
+	}
 	attemptDone struct {
 		a      *attempt
 		result result
@@ -168,12 +172,17 @@
 			l.trace(m.x, "client left")
 			l.forsake(m.x)
 		}
+		m.x.abandon(&l.figures.bodies) // its handler has gone
 	case uploaded:
 		l.whole(m.x, m.until)
 	case answerBegun:
 		m.accepted <- l.begin(m.a, m.answer)
+	case interim:
+		if x := m.a.x; x.open && !x.begun && !m.a.ended && len(x.reply) == 0 {
+			x.reply <- m.answer // the place behind it is that of the final one
+		}
 	case attemptDone:
-		if x := m.a.x; m.result.cut != nil && x.open {
+		if x := m.a.x; m.result.cut != nil && x.open && !x.begun {
 			x.reply <- answer{status: uploadStatus(m.result.cut)}
 			l.forsake(x)
 		}
@@ -254,7 +263,7 @@
 	l.handle(rules.ClientGone{Request: x.ask.ID})
 	for _, a := range x.attempts {
 		if a.rest != nil {
-			a.rest.finish(rules.Cancelled) // in case nobody took it
+			a.rest.drop() // in case nobody took it
 		}
 	}
 	l.drop(x)
@@ -268,6 +277,9 @@
 	x.ask.Open, x.ask.Sent = false, l.clock.now()
 	x.ask.Deadline = x.ask.Sent + time.Until(until).Seconds()
 	l.enter(x)
+	if x.begun {
+		return // the module has let go of it
+	}
 	if a := x.attempts[len(x.attempts)-1]; !a.ended {
 		a.deadline = x.ask.Deadline
 		l.timers.add(timerEntry{at: a.deadline, attempt: a})
@@ -283,17 +295,23 @@
 	}
 	x.begun, a.rest = true, start.rest
 	units := trueUnits(start.header)
-	start.header = passedOn(start.header)
-	start.header.Del(loadHeader) // for gateways, not for clients
+	start.toClient()
 	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent,
 		Units: units})
 	if l.clock.now()-x.ask.Sent > x.class.Aim {
 		l.trace(x, "served late")
 	}
-	x.reply <- start // it has room for one, and one is all it gets
+	x.reply <- start // it has room for it, and one is all it gets
 	return true
 }
 
+// toClient makes an answer of a backend one for its client.
+func (a *answer) toClient() {
+	a.served = true
+	a.header = passedOn(a.header)
+	a.header.Del(loadHeader) // for gateways, not for clients
+}
+
 // carryOver fits a request that was read under earlier settings to those in
 // force. It keeps its class; its customer's quota is that of the plan of today.
 // Danger: the numbers of classes and plans mean others by now.
@@ -404,7 +422,8 @@
 	} else {
 		a.until = l.clock.at(a.deadline)
 	}
-	a.begun = func(d *download, start answer) bool {
+	a.interim = func(told answer) { l.post(interim{a, told}) }
+	a.begun = func(start answer) bool {
 		accepted := make(chan bool, 1)
 		if !l.post(answerBegun{a, start, accepted}) {
 			return false
@@ -429,13 +448,16 @@
 	l.attempts.Go(func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
 		a.cancel()
-		l.post(attemptDone{a, res})
+		if !l.post(attemptDone{a, res}) {
+			res.answer.drop(&l.figures.bodies)
+		}
 	})
 }
 
 // endAttempt takes an attempt's one end; what comes after it is dropped.
 func (l *Loop) endAttempt(a *attempt, res result) {
 	if a.ended {
+		res.answer.drop(&l.figures.bodies)
 		return
 	}
 	a.ended, a.outcome, a.err, a.took = true, res.outcome, res.err, l.clock.now()-a.sent
@@ -443,6 +465,7 @@
 	x.out--
 	switch {
 	case !x.open:
+		res.answer.drop(&l.figures.bodies)
 	case x.begun && res.outcome == rules.Served:
 		l.shut(x)
 		x.counts.passed.Add(1)
@@ -451,9 +474,8 @@
 		x.counts.badGateway.Add(1)
 		l.trace(x, "not served")
 	case res.outcome == rules.Served:
-		header := passedOn(res.header)
-		header.Del(loadHeader) // for gateways, not for clients
-		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
+		res.answer.toClient()
+		l.answer(x.ask.ID, res.answer)
 	}
 	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
 		Took: a.took, Done: !x.open, Spent: res.spent, Units: res.units})
@@ -483,20 +505,20 @@
 		return
 	}
 	l.shut(x)
-	switch a.status {
-	case http.StatusOK:
+	switch {
+	case a.served:
 		x.counts.passed.Add(1)
 		if l.clock.now()-x.ask.Sent > x.class.Aim {
 			l.trace(x, "served late")
 		}
-	case http.StatusTooManyRequests:
+	case a.status == http.StatusTooManyRequests:
 		x.counts.dropped.Add(1)
 		l.trace(x, "not served")
 	default:
 		x.counts.badGateway.Add(1)
 		l.trace(x, "not served")
 	}
-	x.reply <- a // it has room for one, and one is all it gets
+	x.reply <- a // it has room for it, and one is all it gets
 	l.drop(x)
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync"
+	"time"
 
 	"linnetbend/rules"
 )
@@ -12,6 +14,23 @@
 // outage does not cost the gateway the time it needs for its work.
 const mostTraces = 10
 
+// lineLimit bounds the lines a second of one kind.
+type lineLimit struct {
+	mu    sync.Mutex
+	since time.Time
+	lines int
+}
+
+func (l *lineLimit) allow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); now.Sub(l.since) >= time.Second {
+		l.since, l.lines = now, 0
+	}
+	l.lines++
+	return l.lines <= mostTraces
+}
+
 // worthTelling is the lag of a timer, in seconds, from which on the process had
 // too little of its core.
 const worthTelling = 0.02
