--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -110,6 +110,18 @@
 	t.Parallel()
 	backend := newPeer(t)
 	old, next, conn := newPair(t, backend)
+	memory := func(r *rig) int {
+		r.figures.bodies.mu.Lock()
+		defer r.figures.bodies.mu.Unlock()
+		return r.figures.bodies.total
+	}
+	for _, r := range []*rig{old, next} {
+		for end := time.Now().Add(patience); memory(r) != bodyMemory(192)/2; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d bytes for the bodies of one of two processes", memory(r))
+			}
+		}
+	}
 	old.stop()
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 		if status, _ := old.operate(t, "GET", "/control/ready"); status == http.StatusServiceUnavailable {
@@ -142,6 +154,11 @@
 	if status, _ := next.operate(t, "GET", "/control/ready"); status != http.StatusOK {
 		t.Errorf("the new process: status %d", status)
 	}
+	for end := time.Now().Add(patience); memory(next) != bodyMemory(192); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes for the bodies of a process that is alone", memory(next))
+		}
+	}
 }
 
 // A process that has the books and stalls holds up neither calls by hand nor the
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -915,6 +916,27 @@
 	}
 }
 
+// A transfer that ends in the time that a stop leaves ends whole.
+func TestStopLetsStreamsEnd(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, head := r.get(t, ask("GET", "lookup", ""))
+	to, br := backend.accept(t)
+	readRequest(t, br)
+	io.WriteString(to, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+	resp := head()
+	r.stop()
+	r.until(t, http.StatusServiceUnavailable)
+	io.WriteString(to, "1\r\nb\r\n0\r\n\r\n")
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "ab" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // A stop cuts what is still flowing at its end, so that the client can tell.
 func TestStopCutsStreams(t *testing.T) {
 	t.Parallel()
@@ -932,3 +954,62 @@
 	}
 	wait(t, r.ended, "end")
 }
+
+// Uploads that wait for memory which answers hold, and the other way round, all
+// come to an end, and each has a whole answer or is told to come again.
+func TestBothWaysInLittleMemory(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	r.figures.bodies.limit(4 * leastWindow)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case to := <-backend.conns:
+				go func() {
+					for br := bufio.NewReader(to); ; {
+						req, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						// The whole of what it gets, as it gets it.
+						fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", req.ContentLength)
+						if n, err := io.Copy(to, req.Body); err != nil || n != req.ContentLength {
+							return
+						}
+					}
+				}()
+			case <-done:
+				return
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	var served, refused atomic.Int64
+	for i := range 100 {
+		wg.Go(func() {
+			body := noise(uint64(i), 20<<10+i*4096)
+			conn, head := r.get(t, ask("POST", "booking", "", "Content-Length", strconv.Itoa(len(body))))
+			go conn.Write(body)
+			resp := head()
+			got, err := io.ReadAll(resp.Body)
+			switch {
+			case resp.StatusCode == 200 && err == nil && bytes.Equal(got, body):
+				served.Add(1)
+			case (resp.StatusCode == 503 || resp.StatusCode == 429) && resp.Header.Get("Retry-After") != "":
+				refused.Add(1)
+			default:
+				t.Errorf("%d of %d bytes, status %d, %v", len(got), len(body), resp.StatusCode, err)
+			}
+		})
+	}
+	wg.Wait()
+	if served.Load() == 0 {
+		t.Errorf("none served, %d refused", refused.Load())
+	}
+	if _, most := r.figures.bodies.usage(); most > 4*leastWindow {
+		t.Errorf("%d taken", most)
+	}
+}
