--- /dev/null
+++ b/cmd/registry/main.go
@@ -0,0 +1,173 @@
+// Registry is one list service: the writer, or a follower that copies it.
+// REGISTRY_CONFIG names its configuration; SIGHUP makes it read that again,
+// SIGTERM let its watchers move on and end.
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"linnetbend/internal/registry"
+)
+
+// config is what a list service is told.
+type config struct {
+	Listen  string `json:"listen"`  // where readers and instances call
+	Control string `json:"control"` // where operators call; empty where they do not
+	Writer  string `json:"writer"`  // whom to copy; empty: this is the writer
+	LeaseMs int    `json:"lease_ms"`
+	Limits  struct {
+		Instances    int     `json:"instances"`
+		History      int     `json:"history"`
+		HistoryBytes int     `json:"history_bytes"`
+		Connections  int     `json:"connections"`
+		Watchers     int     `json:"watchers"`
+		ListsPerS    float64 `json:"lists_per_s"`
+	} `json:"limits"`
+}
+
+func (c *config) store() registry.Limits {
+	return registry.Limits{Lease: time.Duration(c.LeaseMs) * time.Millisecond, Instances: c.Limits.Instances,
+		History: c.Limits.History, HistoryBytes: c.Limits.HistoryBytes}
+}
+
+func (c *config) serves() registry.ServerLimits {
+	return registry.ServerLimits{Connections: c.Limits.Connections, Watchers: c.Limits.Watchers, Lists: c.Limits.ListsPerS}
+}
+
+func readConfig(path string) (*config, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	defer f.Close()
+	c := &config{LeaseMs: 10_000}
+	c.Limits.Instances, c.Limits.History, c.Limits.HistoryBytes = 10_000, 20_000, 8<<20
+	c.Limits.Connections, c.Limits.Watchers, c.Limits.ListsPerS = 1024, 800, 100
+	d := json.NewDecoder(f)
+	d.DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, fmt.Errorf("configuration %s: something stands behind it", path)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *config) check() error {
+	for key, address := range map[string]string{"listen": c.Listen, "control": c.Control, "writer": c.Writer} {
+		if address == "" && key != "listen" {
+			continue
+		}
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is not an address with a port", key, address)
+		}
+	}
+	l := c.Limits
+	switch {
+	case c.LeaseMs < 500 || c.LeaseMs > 600_000:
+		return fmt.Errorf("lease_ms: %d is not from 500 to 600000", c.LeaseMs)
+	case l.Instances < 1 || l.History < 1 || l.HistoryBytes < 1024 || l.Connections < 2 || l.Watchers < 1 || !(l.ListsPerS >= 1):
+		return errors.New("limits: each has to allow something")
+	case l.Watchers >= l.Connections:
+		return fmt.Errorf("limits: %d watchers leave no room for writers among %d connections", l.Watchers, l.Connections)
+	}
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, func() {}); err != nil {
+		fmt.Fprintln(os.Stderr, "registry:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until ctx ends. It says when it has read its configuration.
+func run(ctx context.Context, read func()) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	path := os.Getenv("REGISTRY_CONFIG")
+	if path == "" {
+		return errors.New("REGISTRY_CONFIG is not set")
+	}
+	c, err := readConfig(path)
+	if err != nil {
+		return err
+	}
+	read()
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	var operators net.Listener
+	if c.Control != "" {
+		if operators, err = net.Listen("tcp", c.Control); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	var seed [32]byte
+	crand.Read(seed[:])
+	random := rand.New(rand.NewChaCha8(seed))
+	if c.Writer != "" {
+		slog.Info("starting", "listen", c.Listen, "writer", c.Writer)
+		f := registry.NewFollower(c.Writer, c.store(), c.serves(), began, random)
+		go reload(ctx, path, c, hangups, func(next *config) {
+			f.Retune(next.store(), next.serves())
+			if next.Writer != c.Writer {
+				f.Move(ctx, next.Writer)
+			}
+		})
+		return f.Serve(ctx, l, operators)
+	}
+	name := fmt.Sprintf("%016x", random.Uint64())
+	store, err := registry.NewStore(c.store(), registry.NewMemory(), name, began.UnixMilli(), 0)
+	if err != nil {
+		return err
+	}
+	slog.Info("starting a new history", "listen", c.Listen, "name", name, "version", began.UnixMilli(), "reads_in", c.store().Lease)
+	w := registry.NewWriter(store, c.serves(), began, random)
+	go reload(ctx, path, c, hangups, func(next *config) { w.Retune(next.store(), next.serves()) })
+	return w.Serve(ctx, l, operators)
+}
+
+// reload reads the configuration again at each hangup until ctx ends. What it
+// listens on, and whether it writes, needs a new start.
+func reload(ctx context.Context, path string, c *config, hangups <-chan os.Signal, take func(*config)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		next, err := readConfig(path)
+		if err == nil && (next.Listen != c.Listen || next.Control != c.Control || (next.Writer == "") != (c.Writer == "")) {
+			err = errors.New("listen, control, and whether there is a writer to copy need a new start")
+		}
+		if err != nil {
+			slog.Error("not reloaded", "error", err)
+			continue
+		}
+		take(next)
+		*c = *next
+		slog.Info("reloaded", "config", fmt.Sprintf("%+v", *c))
+	}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -23,13 +23,16 @@
 	Listen    string // where clients connect
 	Control   string // where operators call; empty where they do not
 	Discovery string
-	Counter   string // empty where the deployment has none
-	Seed      uint64
-	Cores     float64
-	MemoryMB  int
-	Sockets   int // file descriptors
-	BodyMB    int // megabytes that a client may send in one body; 0: any number
-	Known     Listing
+	// Registries are list services, of which any will do, that are asked in
+	// discovery's place; empty: discovery is.
+	Registries []string
+	Counter    string // empty where the deployment has none
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int // file descriptors
+	BodyMB     int // megabytes that a client may send in one body; 0: any number
+	Known      Listing
 
 	// Of the environment, where the platform lets two processes of a gateway serve
 	// side by side:
@@ -76,8 +79,9 @@
 			Sockets  int     `json:"sockets"`
 			BodyMB   int     `json:"body_mb"`
 		}
-		Known    Listing
-		Settings json.RawMessage
+		Registries []string
+		Known      Listing
+		Settings   json.RawMessage
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
@@ -86,7 +90,7 @@
 		return Config{}, errors.New("no settings")
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Control: raw.Control, Discovery: raw.Discovery, Counter: raw.Counter,
-		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, BodyMB: raw.Limits.BodyMB, Known: raw.Known}
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, BodyMB: raw.Limits.BodyMB, Registries: raw.Registries, Known: raw.Known}
 	var err error
 	if c.Deployment, err = wire.ParseDeployment(raw.Settings); err != nil {
 		return Config{}, err
@@ -106,6 +110,9 @@
 	if at := missingKey(c.document, next.document); at != "" {
 		return fmt.Errorf("%s is missing", at[1:])
 	}
+	if (len(c.Registries) > 0) != (len(next.Registries) > 0) {
+		return errors.New("registries: whether list services are asked needs a new start")
+	}
 	return nil
 }
 
@@ -160,7 +167,13 @@
 
 // check finds what a gateway could not run with, before any socket is opened.
 func (c *Config) check() error {
-	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	addresses := map[string]string{"listen": c.Listen}
+	for n, address := range c.Registries {
+		addresses[fmt.Sprintf("registries[%d]", n)] = address
+	}
+	if len(c.Registries) == 0 {
+		addresses["discovery"] = c.Discovery
+	}
 	if c.Settings.Counter {
 		addresses["counter"] = c.Counter
 	}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -9,11 +9,13 @@
 	"io"
 	"log"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"linnetbend/internal/registry"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
 )
@@ -24,30 +26,18 @@
 	listTimeout  = 3 * time.Second        // for a call that does not wait for news, though in a line perhaps
 	watchRetry   = 100 * time.Millisecond // pause after a failed call: a watch lapses after 200 ms
 	mostListing  = 4 << 20                // bytes of one answer
-	listPath     = "/registry/instances"
-	complaintGap = 10 * time.Second // between lines about a discovery that stays down
+	complaintGap = 10 * time.Second       // between lines about a discovery that stays down
 )
 
-// Listing is discovery's list of backends, or the changes to it.
-type Listing struct {
-	Generation int64      `json:"generation"`
-	Reset      bool       `json:"reset"` // all there are, not changes alone
-	Instances  []Instance `json:"instances"`
-}
-
-// Instance is one backend in discovery's form.
-type Instance struct {
-	ID          string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	MachineType string  `json:"machineType"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs int64   `json:"startedAtMs"`
-}
+// Listing is discovery's list of backends, or the changes to it, and Instance one
+// of them.
+type (
+	Listing  = registry.Listing
+	Instance = registry.Instance
+)
 
-var lifecycles = map[string]rules.BackendState{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
+var lifecycles = map[registry.Lifecycle]rules.BackendState{registry.Ready: rules.Ready,
+	registry.Terminating: rules.Draining, registry.Gone: rules.Gone}
 
 // backendID derives the module's id from the name alone, so that all gateways
 // agree on it whatever order they hear of backends in.
@@ -57,9 +47,9 @@
 	return rules.BackendID(h.Sum32())
 }
 
-// backend translates an entry. The module's clock is Unix time (see clock), so
+// backendOf translates an entry. The module's clock is Unix time (see clock), so
 // a start needs its unit changed only.
-func (i Instance) backend(d *wire.Deployment) (rules.Backend, error) {
+func backendOf(i Instance, d *wire.Deployment) (rules.Backend, error) {
 	state, known := lifecycles[i.Lifecycle]
 	zone := slices.Index(d.Zones, i.Zone)
 	switch {
@@ -75,6 +65,60 @@
 		State: state, Weight: i.Weight, Born: float64(i.StartedAtMs) / 1000}, nil
 }
 
+// listFollower keeps the loop's list up to date, by discovery or by list services.
+type listFollower struct {
+	agent      *watcher
+	services   *registry.Client // nil where discovery is asked
+	address    string           // of discovery
+	registries []string
+	moves      chan string
+	moved      chan []string
+}
+
+func newListFollower(c *Config, l *Loop) *listFollower {
+	f := &listFollower{address: c.Discovery, registries: c.Registries, moves: make(chan string), moved: make(chan []string)}
+	tell := func(told Listing) {
+		kind := rules.Delta
+		if told.Reset {
+			kind = rules.FullList
+		}
+		l.post(news{told, kind})
+	}
+	if len(c.Registries) > 0 {
+		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) { tell(told.News) })
+	} else {
+		f.agent = newWatcher(c.Discovery, tell, l.turnedAway)
+	}
+	return f
+}
+
+func (f *listFollower) run(ctx context.Context) {
+	if f.services != nil {
+		f.services.Run(ctx, f.moved)
+		return
+	}
+	f.agent.run(ctx, f.moves)
+}
+
+// move follows at the addresses of another configuration. Whether it asks discovery
+// or list services stays as it was at the start.
+func (f *listFollower) move(ctx context.Context, next *Config) {
+	switch {
+	case f.services != nil && len(next.Registries) > 0 && !slices.Equal(f.registries, next.Registries):
+		f.registries = next.Registries
+		select {
+		case f.moved <- next.Registries:
+		case <-ctx.Done():
+		}
+	case f.services == nil && next.Discovery != f.address:
+		f.address = next.Discovery
+		select {
+		case f.moves <- next.Discovery:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // watcher follows discovery and hands on each answer.
 type watcher struct {
 	address string
@@ -147,7 +191,7 @@
 var errRefused = errors.New("turned away")
 
 func (w *watcher) ask(ctx context.Context) (l Listing, err error) {
-	url, limit := "http://"+w.address+listPath, listTimeout
+	url, limit := "http://"+w.address+registry.Path, listTimeout
 	if w.listed {
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, watchWait.Milliseconds())
 		limit = watchWait + watchGrace
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -12,15 +12,15 @@
 	"linnetbend/rules"
 )
 
-// registry is a discovery whose answers a test gives one by one.
-type registry struct {
+// agent is a discovery whose answers a test gives one by one.
+type agent struct {
 	*httptest.Server
 	calls   chan string // the query of each call
 	answers chan any    // a Listing, or a status
 }
 
-func newRegistry(t testing.TB) *registry {
-	r := &registry{calls: make(chan string, 64), answers: make(chan any, 64)}
+func newAgent(t testing.TB) *agent {
+	r := &agent{calls: make(chan string, 64), answers: make(chan any, 64)}
 	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.calls <- q.URL.RawQuery
 		select {
@@ -42,10 +42,10 @@
 	return r
 }
 
-func (r *registry) address() string { return r.Listener.Addr().String() }
+func (r *agent) address() string { return r.Listener.Addr().String() }
 
 func TestWatch(t *testing.T) {
-	r := newRegistry(t)
+	r := newAgent(t)
 	heard := make(chan Listing, 64)
 	turnedAway := make(chan chan struct{}, 1)
 	w := newWatcher(r.address(), func(l Listing) { heard <- l }, func(context.Context) {
@@ -100,7 +100,7 @@
 // A watch that stands open at the old address is given up for the new one, and
 // starts there from the whole list.
 func TestWatchMoves(t *testing.T) {
-	old, next := newRegistry(t), newRegistry(t)
+	old, next := newAgent(t), newAgent(t)
 	heard := make(chan Listing, 64)
 	w := newWatcher(old.address(), func(l Listing) { heard <- l }, nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -124,8 +124,8 @@
 
 func TestInstances(t *testing.T) {
 	d := &wire.Deployment{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
-	b, err := Instance{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
-		StartedAtMs: 1500}.backend(d)
+	b, err := backendOf(Instance{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
+		StartedAtMs: 1500}, d)
 	want := rules.Backend{ID: backendID("s-1"), Zone: 1, Kind: 1, Cell: 3, State: rules.Draining, Weight: 1.5, Born: 1.5}
 	if err != nil || b != want {
 		t.Errorf("%+v, %v; want %+v", b, err, want)
@@ -139,7 +139,7 @@
 		{ID: "s-1", Zone: "c", Lifecycle: "Ready"},
 		{ID: "s-1", Zone: "a", Lifecycle: "Ready", StartedAtMs: -1},
 	} {
-		if _, err := bad.backend(d); err == nil {
+		if _, err := backendOf(bad, d); err == nil {
 			t.Errorf("%+v was taken", bad)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,16 +96,9 @@
 	if calls != nil {
 		wg.Go(func() { calls.run(inner) })
 	}
-	watch := newWatcher(c.Discovery, func(l Listing) {
-		kind := rules.Delta
-		if l.Reset {
-			kind = rules.FullList
-		}
-		front.loop.post(news{l, kind})
-	}, front.loop.turnedAway)
-	moves := make(chan string)
+	follow := newListFollower(c, front.loop)
 	inForce := c
-	wg.Go(func() { watch.run(inner, moves) })
+	wg.Go(func() { follow.run(inner) })
 	wg.Go(func() {
 		for {
 			select {
@@ -131,12 +124,7 @@
 				if calls != nil {
 					calls.move(next.Counter, seconds(next.CounterTimeout))
 				}
-				if next.Discovery != inForce.Discovery {
-					select {
-					case moves <- next.Discovery:
-					case <-inner.Done():
-					}
-				}
+				follow.move(inner, next)
 				inForce = next
 			}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,13 +11,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"linnetbend/internal/registry"
 )
 
 // rig is a whole gateway between loopback sockets.
 type rig struct {
 	address  string
 	control  string
-	registry *registry
+	registry *agent
 	stop     context.CancelFunc
 	reloads  chan Reload
 	ended    chan error
@@ -34,7 +36,7 @@
 // newRigWith does so with another configuration.
 func newRigWith(t testing.TB, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
-	r := &rig{registry: newRegistry(t), ended: make(chan error, 1)}
+	r := &rig{registry: newAgent(t), ended: make(chan error, 1)}
 	c, err := parseConfig([]byte(change(configText(r.registry.address(), testSettings))))
 	if err != nil {
 		t.Fatal(err)
@@ -88,7 +90,7 @@
 	l := Listing{Generation: 1, Reset: reset}
 	for _, b := range backends {
 		l.Instances = append(l.Instances, Instance{ID: b.address(), HostPort: b.address(), Zone: "a", MachineType: "m",
-			Lifecycle: lifecycle, Weight: 1})
+			Lifecycle: registry.Lifecycle(lifecycle), Weight: 1})
 	}
 	return l
 }
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -43,7 +43,7 @@
 // newRigOn starts a gateway as one process of several with the given socket.
 func newRigOn(t *testing.T, shared net.Listener, dir string, backends ...*peer) *rig {
 	t.Helper()
-	r := &rig{registry: newRegistry(t), ended: make(chan error, 1)}
+	r := &rig{registry: newAgent(t), ended: make(chan error, 1)}
 	c, err := parseConfig([]byte(configText(r.registry.address(), testSettings)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -343,7 +343,7 @@
 	ev := rules.Backends{Kind: kind}
 	kept := map[rules.BackendID]bool{}
 	for _, i := range told.Instances {
-		b, err := i.backend(&l.service.Deployment)
+		b, err := backendOf(i, &l.service.Deployment)
 		if err != nil {
 			log.Printf("discovery: %v", err)
 			continue
--- /dev/null
+++ b/internal/gateway/registry_test.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linnetbend/internal/registry"
+)
+
+// listService is a registry that can be stopped and slowed.
+type listService struct {
+	address string
+	stop    func()
+
+	mu    sync.Mutex
+	delay time.Duration
+}
+
+var (
+	storeLimits = registry.Limits{Lease: 2 * time.Second, Instances: 100, History: 100, HistoryBytes: 1 << 20}
+	serveLimits = registry.ServerLimits{Connections: 100, Watchers: 90, Lists: 100}
+)
+
+// startService serves at an address, behind something that may slow it.
+func startService(t *testing.T, address string, serve func(context.Context, net.Listener, net.Listener) error) *listService {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s, done := &listService{address: l.Addr().String()}, make(chan struct{})
+	go func() { defer close(done); serve(ctx, slowListener{l, s}, nil) }()
+	s.stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(s.stop)
+	return s
+}
+
+type slowListener struct {
+	net.Listener
+	s *listService
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c, l.s}, err
+}
+
+type slowConn struct {
+	net.Conn
+	s *listService
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	c.s.mu.Lock()
+	delay := c.s.delay
+	c.s.mu.Unlock()
+	time.Sleep(delay) // of the network, which the test slows
+	return c.Conn.Write(p)
+}
+
+func (s *listService) slow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+func startWriter(t *testing.T, address string, log registry.Log) *listService {
+	t.Helper()
+	store, err := registry.NewStore(storeLimits, log, fmt.Sprintf("%x", rand.Uint64()), time.Now().UnixMilli(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startService(t, address, registry.NewWriter(store, serveLimits, time.Now(), rand.New(rand.NewPCG(1, 1))).Serve)
+}
+
+// registered keeps a backend on the list until the test ends, at whichever of the
+// services writes.
+type registered struct {
+	id      string
+	mu      sync.Mutex
+	writer  string
+	backend *peer
+	cycle   string
+	served  atomic.Int64
+}
+
+func (b *registered) move(writer string) { b.mu.Lock(); defer b.mu.Unlock(); b.writer = writer }
+
+func (b *registered) call(method, path, body string) int {
+	b.mu.Lock()
+	url := "http://" + b.writer + registry.Path + "/" + b.id + path
+	b.mu.Unlock()
+	req, _ := http.NewRequest(method, url, strings.NewReader(body))
+	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func (b *registered) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		if b.call("POST", "/renew", `{"startedAtMs":5}`) == 404 {
+			b.mu.Lock()
+			cycle := b.cycle
+			b.mu.Unlock()
+			b.call("PUT", "", fmt.Sprintf(`{"hostPort":%q,"zone":"a","machineType":"m","lifecycle":%q,"startedAtMs":5}`,
+				b.backend.address(), cycle))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond): // a tenth of the lease
+		}
+	}
+}
+
+// drain tells the list until it is heard.
+func (b *registered) drain(t *testing.T) {
+	t.Helper()
+	b.mu.Lock()
+	b.cycle = "Terminating"
+	b.mu.Unlock()
+	for end := time.Now().Add(patience); b.call("POST", "/lifecycle", `{"startedAtMs":5,"lifecycle":"Terminating"}`) != 200; {
+		if time.Now().After(end) {
+			t.Fatal("the drain was never heard")
+		}
+	}
+}
+
+// A gateway serves through list services that are stopped, slowed, restarted and
+// replaced. No request is lost for it, and drains are kept.
+func TestServesThroughListServices(t *testing.T) {
+	t.Parallel()
+	log := registry.NewMemory()
+	writer := startWriter(t, "127.0.0.1:0", log)
+	follower := registry.NewFollower(writer.address, storeLimits, serveLimits, time.Now(), rand.New(rand.NewPCG(2, 2)))
+	copied := startService(t, "127.0.0.1:0", follower.Serve)
+
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	var kept []*registered
+	for n := range 3 {
+		b := &registered{id: fmt.Sprint("b", n), writer: writer.address, backend: newPeer(t), cycle: "Ready"}
+		kept = append(kept, b)
+		wg.Go(func() { b.keep(ctx) })
+		go b.answerAll()
+	}
+	c, err := parseConfig([]byte(strings.Replace(configText("", testSettings), `"counter"`,
+		fmt.Sprintf(`"registries": [%q, %q], "counter"`, writer.address, copied.address), 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{ended: make(chan error, 1)}
+	r.serve(t, &c, l)
+	r.until(t, http.StatusOK)
+	r.tells(t, "app.known_backends:3|g")
+	serves := func(when string) {
+		t.Helper()
+		for range 20 {
+			_, answers := r.client(t, ask("GET", "lookup", ""))
+			if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+				t.Fatalf("%s: status %d", when, resp.StatusCode)
+			}
+		}
+	}
+	// drained waits until the gateway has heard of a drain; nothing new goes there then.
+	drained := func(b *registered) {
+		t.Helper()
+		b.drain(t)
+		r.tells(t, "app.skipped_backends:1|g")
+		before := b.served.Load()
+		serves("beside a backend that drains")
+		if n := b.served.Load() - before; n != 0 {
+			t.Errorf("a backend that drains got %d requests", n)
+		}
+		b.mu.Lock()
+		b.cycle = "Ready"
+		b.mu.Unlock()
+		for end := time.Now().Add(patience); b.call("POST", "/lifecycle", `{"startedAtMs":5,"lifecycle":"Ready"}`) != 200; {
+			if time.Now().After(end) {
+				t.Fatal("the end of the drain was never heard")
+			}
+		}
+		r.tells(t, "app.skipped_backends:0|g")
+	}
+	serves("at first")
+	drained(kept[0])
+
+	writer.slow(time.Second)
+	copied.slow(time.Second)
+	serves("with slow services")
+	writer.slow(0)
+	copied.slow(0)
+	drained(kept[1])
+
+	writer.stop()
+	serves("without the writer")
+	writer = startWriter(t, writer.address, log) // from its log
+	serves("with the writer again")
+	drained(kept[2])
+
+	writer.stop()
+	copied.stop()
+	serves("with no service at all")
+	// Another, with nothing, takes the writer's place: nobody goes before all could
+	// register.
+	writer = startWriter(t, writer.address, registry.NewMemory())
+	serves("with a service that begins")
+	drained(kept[0])
+	r.tells(t, "app.known_backends:3|g", "app.handled.lookup.dropped:0|c", "app.handled.lookup.bad_gateway:0|c")
+	for _, b := range kept {
+		if b.served.Load() == 0 {
+			t.Errorf("%s has served nothing", b.id)
+		}
+	}
+}
+
+// answerAll serves every request on every connection of the backend.
+func (b *registered) answerAll() {
+	for c := range b.backend.conns {
+		go func() {
+			defer c.Close()
+			buf := make([]byte, 16<<10)
+			for n := 0; ; {
+				m, err := c.Read(buf[n:])
+				if n += m; err != nil {
+					return
+				}
+				if strings.HasSuffix(string(buf[:n]), "\r\n\r\n") {
+					n = 0
+					b.served.Add(1)
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/registry/instance.go
@@ -0,0 +1,149 @@
+// Package registry is a list service for backends: one writer with a log of
+// versions, followers that copy it by its own watch, and the client by which
+// gateways and followers read it.
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"slices"
+	"unicode"
+)
+
+// Path is where the list is read and instances are written.
+const Path = "/registry/instances"
+
+// Headers of answers that tell more than the list itself.
+const (
+	HistoryHeader = "X-Registry-History" // the name of the history that the versions belong to
+	AgeHeader     = "X-Registry-Age-Ms"  // how long ago a follower last heard from its writer
+)
+
+// Listing is a list of instances, or the changes to one.
+type Listing struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // all there are, not changes alone
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one backend.
+type Instance struct {
+	ID          string    `json:"instanceId"`
+	HostPort    string    `json:"hostPort"`
+	Zone        string    `json:"zone"`
+	MachineType string    `json:"machineType"`
+	Cell        int       `json:"cell"`
+	Lifecycle   Lifecycle `json:"lifecycle"`
+	Weight      float64   `json:"weight"`
+	StartedAtMs int64     `json:"startedAtMs"`
+}
+
+// Lifecycle is what an instance does.
+type Lifecycle string
+
+// The lifecycles. Gone appears only among changes.
+const (
+	Ready       Lifecycle = "Ready"
+	Terminating Lifecycle = "Terminating"
+	Gone        Lifecycle = "Gone"
+)
+
+func (l Lifecycle) known() bool { return l == Ready || l == Terminating || l == Gone }
+
+const (
+	mostID     = 64      // bytes
+	mostName   = 64      // of a zone or machine type
+	mostCell   = 1 << 20 // cells are numbered below it
+	mostWeight = 1e6
+	mostStart  = 1 << 53 // milliseconds that JSON readers keep exact
+)
+
+// check finds what an instance in a list can't be.
+func (i Instance) check() error {
+	if err := checkID(i.ID); err != nil {
+		return err
+	}
+	address, err := netip.ParseAddrPort(i.HostPort)
+	switch {
+	case err != nil || address.Port() == 0:
+		return fmt.Errorf("hostPort: %.80q is not a numeric address with a port", i.HostPort)
+	case !isName(i.Zone):
+		return fmt.Errorf("zone: %.80q is not a name of 1 to %d letters", i.Zone, mostName)
+	case !isName(i.MachineType):
+		return fmt.Errorf("machineType: %.80q is not a name of 1 to %d letters", i.MachineType, mostName)
+	case i.Cell < 0 || i.Cell >= mostCell:
+		return fmt.Errorf("cell: %d is out of range", i.Cell)
+	case !i.Lifecycle.known():
+		return fmt.Errorf("lifecycle: %.80q is not known", i.Lifecycle)
+	case !(i.Weight >= 0 && i.Weight <= mostWeight) || math.IsNaN(i.Weight):
+		return fmt.Errorf("weight: %g is out of range", i.Weight)
+	case i.StartedAtMs < 0 || i.StartedAtMs > mostStart:
+		return fmt.Errorf("startedAtMs: %d is out of range", i.StartedAtMs)
+	}
+	return nil
+}
+
+func checkID(id string) error {
+	if id == "" || len(id) > mostID {
+		return fmt.Errorf("instanceId: %d bytes are none or too many", len(id))
+	}
+	for _, c := range []byte(id) {
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.' || c == ':') {
+			return fmt.Errorf("instanceId: %q is not of letters, digits and -_.:", id)
+		}
+	}
+	return nil
+}
+
+func isName(s string) bool {
+	if s == "" || len(s) > mostName {
+		return false
+	}
+	for _, r := range s {
+		if r == unicode.ReplacementChar || !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// decode reads one JSON value, of known fields and with nothing behind it.
+func decode(text []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("not such a call: %w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("not such a call: something stands behind it")
+	}
+	return nil
+}
+
+// ParseListing reads a list. One that can't be read whole is none.
+func ParseListing(text []byte) (Listing, error) {
+	var l Listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return Listing{}, fmt.Errorf("list: %w", err)
+	}
+	if l.Generation < 0 || l.Generation > mostStart {
+		return Listing{}, fmt.Errorf("list: generation %d is out of range", l.Generation)
+	}
+	ids := make([]string, 0, len(l.Instances))
+	for _, i := range l.Instances {
+		if err := i.check(); err != nil {
+			return Listing{}, fmt.Errorf("list: %w", err)
+		}
+		ids = append(ids, i.ID)
+	}
+	slices.Sort(ids)
+	if len(slices.Compact(ids)) != len(l.Instances) {
+		return Listing{}, errors.New("list: an instance stands there twice")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/registry/server.go
@@ -0,0 +1,499 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	tickGap     = 100 * time.Millisecond
+	wakeGap     = 50 * time.Millisecond // between two answers to all watchers
+	longestWait = time.Minute           // of a watch
+	writeWait   = 5 * time.Second       // for an answer to be taken; a watcher that does not is cut
+	readWait    = 3 * time.Second       // for a call to come whole
+	idleWait    = 90 * time.Second
+	mostCall    = 4 << 10 // bytes of a write's body
+	mostHead    = 8 << 10
+	leaveWithin = 2 * time.Second // in which watchers are told to move on, each at its own moment
+	mostAfter   = 3 * time.Second // of Retry-After
+	leastAfter  = time.Second
+)
+
+// ServerLimits bound a Server.
+type ServerLimits struct {
+	Connections int
+	Watchers    int
+	Lists       float64 // whole lists in a second
+}
+
+// Server answers readers and writers of one Store.
+type Server struct {
+	limits ServerLimits
+	writer atomic.Pointer[string] // of a follower; nil: this is the writer
+	age    func() int64           // milliseconds since the writer was heard; nil for a writer
+	began  time.Time
+
+	mu      sync.Mutex // of the store and of what follows
+	store   *Store
+	news    chan struct{} // closed when there is something new
+	wokenAt time.Time
+	waking  bool
+	lists   float64 // that may be asked for now
+	listsAt time.Time
+	random  *rand.Rand
+
+	leaving chan struct{} // closed at the stop
+	figures struct {
+		watchers, refused, turnedAway, answers, bytes, cut atomic.Int64
+	}
+}
+
+// NewWriter serves a store of its own.
+func NewWriter(store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
+	return &Server{limits: limits, store: store, began: began, news: make(chan struct{}), random: random,
+		lists: limits.Lists, listsAt: began, leaving: make(chan struct{})}
+}
+
+// Retune puts other limits in force. Leases that run keep their end.
+func (s *Server) Retune(limits Limits, serves ServerLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.limits, s.limits = limits, serves
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.began) }
+
+// tick lets leases lapse until ctx ends.
+func (s *Server) tick(ctx context.Context) {
+	t := time.NewTicker(tickGap)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, err := s.change(func(now time.Duration) (int64, error) { return 0, s.store.Tick(now) }); err != nil {
+			slog.Error("lapses", "error", err)
+		}
+	}
+}
+
+// change does something with the store and wakes the watchers if that made news.
+func (s *Server) change(f func(now time.Duration) (int64, error)) (version int64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, history, pauses := s.store.version, s.store.history, s.store.stats.Pauses
+	version, err = f(s.now())
+	if s.store.version != before || s.store.history != history {
+		s.wake()
+	}
+	if s.store.stats.Pauses != pauses {
+		slog.Warn("the service stood still; all leases begin anew")
+	}
+	return version, err
+}
+
+// wake lets the watchers look. Changes that come close together are told at once.
+func (s *Server) wake() {
+	if s.waking {
+		return
+	}
+	if wait := wakeGap - time.Since(s.wokenAt); wait > 0 {
+		s.waking = true
+		time.AfterFunc(wait, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.waking = false
+			s.wakeNow()
+		})
+		return
+	}
+	s.wakeNow()
+}
+
+func (s *Server) wakeNow() {
+	s.wokenAt = time.Now()
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// Handler answers the calls of readers and writers.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, s.read)
+	for pattern, f := range map[string]func(id string, r *http.Request) (int64, error){
+		"PUT " + Path + "/{id}":            s.register,
+		"POST " + Path + "/{id}/renew":     s.renew,
+		"POST " + Path + "/{id}/lifecycle": s.lifecycle,
+		"DELETE " + Path + "/{id}":         s.leave,
+	} {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			if writer := s.writer.Load(); writer != nil {
+				w.Header().Set("Location", "http://"+*writer+r.URL.RequestURI())
+				s.fail(w, refuse(http.StatusTemporaryRedirect, "writes go to %s", *writer))
+				return
+			}
+			// A time-out of the server's own would end watches too.
+			control := http.NewResponseController(w)
+			control.SetReadDeadline(time.Now().Add(readWait))
+			version, err := f(r.PathValue("id"), r)
+			if err != nil {
+				w.Header().Set("Connection", "close") // the rest of its body may still come
+				s.fail(w, err)
+				return
+			}
+			control.SetReadDeadline(time.Time{})
+			s.write(w, fmt.Appendf(nil, `{"version":%d,"leaseMs":%d}`+"\n", version, s.lease().Milliseconds()))
+		})
+	}
+	return mux
+}
+
+// writeCall is the body of a write. All calls name the process by its start, and may
+// name the version that its instance is at; 0: that it is not on the list.
+type writeCall struct {
+	HostPort    string    `json:"hostPort"`
+	Zone        string    `json:"zone"`
+	MachineType string    `json:"machineType"`
+	Cell        int       `json:"cell"`
+	Lifecycle   Lifecycle `json:"lifecycle"`
+	Weight      *float64  `json:"weight"`
+	StartedAtMs *int64    `json:"startedAtMs"`
+	IfVersion   *int64    `json:"ifVersion"`
+}
+
+func readCall(r *http.Request) (writeCall, error) {
+	var c writeCall
+	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, mostCall))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return c, refuse(http.StatusRequestEntityTooLarge, "a call has %d bytes at most", mostCall)
+	case err != nil:
+		return c, refuse(http.StatusBadRequest, "the call did not come whole")
+	}
+	if err := decode(text, &c); err != nil {
+		return c, refuse(http.StatusBadRequest, "%v", err)
+	}
+	if c.StartedAtMs == nil {
+		return c, refuse(http.StatusBadRequest, "startedAtMs is missing")
+	}
+	return c, nil
+}
+
+func (s *Server) register(id string, r *http.Request) (int64, error) {
+	c, err := readCall(r)
+	if err != nil {
+		return 0, err
+	}
+	i := Instance{ID: id, HostPort: c.HostPort, Zone: c.Zone, MachineType: c.MachineType, Cell: c.Cell,
+		Lifecycle: c.Lifecycle, Weight: 1, StartedAtMs: *c.StartedAtMs}
+	if c.Weight != nil {
+		i.Weight = *c.Weight
+	}
+	if i.Lifecycle == "" {
+		i.Lifecycle = Ready
+	}
+	return s.change(func(now time.Duration) (int64, error) { return s.store.Register(now, i, c.IfVersion) })
+}
+
+func (s *Server) renew(id string, r *http.Request) (int64, error) {
+	c, err := readCall(r)
+	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs}) {
+		err = refuse(http.StatusBadRequest, "a renewal has startedAtMs alone")
+	}
+	if err != nil {
+		return 0, err
+	}
+	return s.change(func(now time.Duration) (int64, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
+}
+
+func (s *Server) lifecycle(id string, r *http.Request) (int64, error) {
+	c, err := readCall(r)
+	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs, Lifecycle: c.Lifecycle, IfVersion: c.IfVersion}) {
+		err = refuse(http.StatusBadRequest, "a change of lifecycle has lifecycle, startedAtMs and ifVersion alone")
+	}
+	if err != nil {
+		return 0, err
+	}
+	return s.change(func(now time.Duration) (int64, error) {
+		return s.store.SetLifecycle(now, id, *c.StartedAtMs, c.Lifecycle, c.IfVersion)
+	})
+}
+
+func (s *Server) leave(id string, r *http.Request) (int64, error) {
+	started, err := number(r, "startedAtMs", 0, mostStart)
+	if err == nil && started < 0 {
+		err = refuse(http.StatusBadRequest, "startedAtMs is missing")
+	}
+	if err != nil {
+		return 0, err
+	}
+	var expect *int64
+	if version, err := number(r, "ifVersion", 0, mostStart); err != nil {
+		return 0, err
+	} else if version >= 0 {
+		expect = &version
+	}
+	return s.change(func(now time.Duration) (int64, error) { return s.store.Leave(now, id, started, expect) })
+}
+
+// number reads a number of a call's query; -1: it names none.
+func number(r *http.Request, name string, least, most int64) (int64, error) {
+	values := r.URL.Query()[name]
+	if len(values) == 0 {
+		return -1, nil
+	}
+	n, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || len(values) > 1 || n < least || n > most {
+		return -1, refuse(http.StatusBadRequest, "%s: %.40q is not a number from %d to %d", name, values[0], least, most)
+	}
+	return n, nil
+}
+
+// read answers with the whole list, or waits for what is new.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	since, err := number(r, "since", 0, mostStart)
+	wait, waitErr := number(r, "timeout_ms", 0, longestWait.Milliseconds())
+	if err = errors.Join(err, waitErr); err != nil {
+		s.fail(w, err)
+		return
+	}
+	history := r.URL.Query().Get("history")
+	if since < 0 {
+		wait = 0
+	}
+	body, name, err := s.await(r.Context(), since, history, time.Duration(max(wait, 0))*time.Millisecond)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	w.Header().Set(HistoryHeader, name)
+	if s.age != nil {
+		w.Header().Set(AgeHeader, strconv.FormatInt(s.age(), 10))
+	}
+	s.write(w, body)
+}
+
+// await waits for an answer.
+func (s *Server) await(ctx context.Context, since int64, history string, wait time.Duration) (body []byte, name string, err error) {
+	if wait > 0 {
+		defer s.figures.watchers.Add(-1)
+		if most := s.mostWatchers(); s.figures.watchers.Add(1) > int64(most) {
+			return nil, "", refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
+		}
+	}
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	leaving := s.leaving
+	for last := wait <= 0; ; {
+		s.mu.Lock()
+		a, err := s.store.Read(s.now(), since, history)
+		name, news := s.store.history, s.news
+		switch ahead := s.writer.Load() != nil && since > s.store.version && history == name; {
+		case ahead && !last: // a follower will know by and by
+		case err != nil:
+			s.mu.Unlock()
+			return nil, "", err
+		case a.Whole && !s.mayList():
+			s.mu.Unlock()
+			return nil, "", refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
+		case !a.Nothing || last:
+			s.mu.Unlock()
+			return a.Body, name, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-news:
+		case <-over.C:
+			last = true
+		case <-leaving:
+			// All would ask elsewhere at once.
+			leaving = nil
+			over.Reset(s.between(0, leaveWithin))
+		case <-ctx.Done():
+			return nil, "", ctx.Err()
+		}
+	}
+}
+
+func (s *Server) mostWatchers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.Watchers
+}
+
+// mayList bounds the whole lists, of which each costs as much as many changes.
+func (s *Server) mayList() bool {
+	now := time.Now()
+	s.lists = min(s.lists+now.Sub(s.listsAt).Seconds()*s.limits.Lists, s.limits.Lists)
+	if s.listsAt = now; s.lists < 1 {
+		return false
+	}
+	s.lists--
+	return true
+}
+
+func (s *Server) between(least, most time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+func (s *Server) lease() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.limits.Lease
+}
+
+func (s *Server) left() bool {
+	select {
+	case <-s.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// write gives an answer, for which a watcher has so long.
+func (s *Server) write(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if s.left() {
+		w.Header().Set("Connection", "close")
+	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	s.figures.answers.Add(1)
+	if n, err := w.Write(body); err != nil || n < len(body) {
+		s.figures.cut.Add(1)
+		return
+	}
+	s.figures.bytes.Add(int64(len(body)))
+}
+
+// fail says in one line why a call changed nothing.
+func (s *Server) fail(w http.ResponseWriter, err error) {
+	var r *Refusal
+	if !errors.As(err, &r) {
+		r = &Refusal{http.StatusServiceUnavailable, err.Error()}
+	}
+	if r.Status == http.StatusServiceUnavailable {
+		s.figures.turnedAway.Add(1)
+		w.Header().Set("Retry-After", strconv.FormatFloat(s.between(leastAfter, mostAfter).Seconds(), 'f', 3, 64))
+	} else {
+		s.figures.refused.Add(1)
+	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	http.Error(w, r.Text, r.Status)
+}
+
+// Serve answers on a listener, and operators on another, until ctx ends; then
+// it lets watchers move on, at differing moments, and returns.
+func (s *Server) Serve(ctx context.Context, l, operators net.Listener) error {
+	inner, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	if s.writer.Load() == nil {
+		wg.Go(func() { s.tick(inner) })
+	}
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readWait, IdleTimeout: idleWait, MaxHeaderBytes: mostHead}
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- server.Serve(netutil.LimitListener(l, s.limits.Connections)) })
+	if operators != nil {
+		control := &http.Server{Handler: s.control(), ReadTimeout: readWait, WriteTimeout: writeWait, MaxHeaderBytes: mostHead}
+		wg.Go(func() { failed <- control.Serve(netutil.LimitListener(operators, 16)) })
+		defer control.Close()
+	}
+	select {
+	case err := <-failed:
+		server.Close()
+		return err
+	case <-ctx.Done():
+	}
+	slog.Info("leaving", "watchers", s.figures.watchers.Load())
+	close(s.leaving)
+	end, cancel := context.WithTimeout(context.Background(), leaveWithin+writeWait)
+	defer cancel()
+	if err := server.Shutdown(end); err != nil {
+		server.Close()
+		return fmt.Errorf("calls that were still open at the end: %w", err)
+	}
+	return nil
+}
+
+// ready tells whether reads are answered.
+func (s *Server) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() >= s.store.gathering && !s.left()
+}
+
+// control answers operators.
+func (s *Server) control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) { s.writeFigures(w) })
+	mux.HandleFunc("GET /control/where", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		where := struct {
+			History string `json:"history"`
+			Version int64  `json:"version"`
+			Writer  string `json:"writer,omitempty"`
+			AgeMs   *int64 `json:"ageMs,omitempty"`
+		}{History: s.store.history, Version: s.store.version}
+		s.mu.Unlock()
+		if writer := s.writer.Load(); writer != nil {
+			where.Writer = *writer
+		}
+		if s.age != nil {
+			age := s.age()
+			where.AgeMs = &age
+		}
+		json.NewEncoder(w).Encode(where)
+	})
+	return mux
+}
+
+// writeFigures puts the figures out, a line each.
+func (s *Server) writeFigures(w io.Writer) {
+	s.mu.Lock()
+	st := s.store.Stats()
+	s.mu.Unlock()
+	f := &s.figures
+	type line struct {
+		name string
+		n    int64
+		kind string
+	}
+	lines := []line{{"version", st.Version, "g"}, {"instances", int64(st.Instances), "g"}, {"history", int64(st.History), "g"},
+		{"history_bytes", int64(st.Bytes), "g"}, {"watchers", f.watchers.Load(), "g"}, {"overdue", int64(st.Overdue), "g"},
+		{"registered", st.Registered, "c"}, {"renewed", st.Renewed, "c"}, {"lapsed", st.Lapsed, "c"}, {"pauses", st.Pauses, "c"},
+		{"encoded", st.Encoded, "c"}, {"joined", st.Joined, "c"}, {"answers", f.answers.Load(), "c"},
+		{"answer_bytes", f.bytes.Load(), "c"}, {"watchers_cut", f.cut.Load(), "c"}, {"refused", f.refused.Load(), "c"},
+		{"turned_away", f.turnedAway.Load(), "c"}}
+	if s.age != nil {
+		lines = append(lines, line{"age_ms", s.age(), "g"})
+	}
+	for _, l := range lines {
+		fmt.Fprintf(w, "registry.%s:%d|%s\n", l.name, l.n, l.kind)
+	}
+}
--- /dev/null
+++ b/internal/registry/store.go
@@ -0,0 +1,407 @@
+package registry
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Limits bound a Store.
+type Limits struct {
+	Lease        time.Duration
+	Instances    int // on the list
+	History      int // changes
+	HistoryBytes int // of their encoding
+}
+
+const (
+	lapseShare = 0.05 // of the list that may lapse in a second
+	lapseBurst = 0.1  // and at once
+	pauseShare = 4    // a part of a lease; a service that stood still for longer has heard no renewals
+	mostJoined = 64   // answers kept for watchers that ask from the same version
+)
+
+// Refusal is why a call changed nothing.
+type Refusal struct {
+	Status int
+	Text   string
+}
+
+func (r *Refusal) Error() string { return r.Text }
+
+func refuse(status int, format string, args ...any) error {
+	return &Refusal{status, fmt.Sprintf(format, args...)}
+}
+
+// Store is the list and its history. It is a state machine: all times are those
+// of the caller's monotonic clock. It is not safe for use by several goroutines.
+type Store struct {
+	limits  Limits
+	log     Log
+	history string
+	version int64
+	entries map[string]*entry
+	gone    map[string]change // of the instances in changes that are Gone, the last
+
+	changes []change // the oldest first
+	bytes   int      // of their texts
+	from    int64    // the version that changes follow
+
+	joined map[int64][]byte // answers at this version, by the version asked from; -1: the whole list
+
+	gathering time.Duration // until then the list is not whole
+	ticked    time.Duration
+	credit    float64 // lapses that may go through
+	stats     Stats
+}
+
+// Stats are a Store's figures.
+type Stats struct {
+	Version        int64
+	Instances      int
+	History, Bytes int // changes kept, and their bytes
+	Registered     int64
+	Renewed        int64
+	Lapsed         int64
+	Overdue        int   // leases that have run out, whose lapse waits
+	Pauses         int64 // times that the service stood still, and all leases began anew
+	Encoded        int64 // changes
+	Joined         int64 // answers put together
+}
+
+type entry struct {
+	Instance
+	version int64
+	text    []byte
+	expires time.Duration
+}
+
+type change struct {
+	version int64
+	id      string
+	started int64
+	text    []byte
+}
+
+// NewStore takes up the history that the log has, or begins one with the given
+// name at a version that is higher than all that there were before.
+func NewStore(limits Limits, log Log, name string, first int64, now time.Duration) (*Store, error) {
+	s := newStore(limits, now)
+	s.log = log
+	err := log.Replay(func(r Record) error {
+		if r.Version < s.version {
+			return fmt.Errorf("log: version %d comes after %d", r.Version, s.version)
+		}
+		s.history, s.version = r.History, r.Version
+		if r.Instance.ID != "" {
+			return s.put(r.Instance, r.Version, now)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.forget()
+	if s.history == "" {
+		s.history, s.version, s.from, s.gathering = name, first, first, now+limits.Lease
+		if err := log.Append(Record{History: name, Version: first}); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func newStore(limits Limits, now time.Duration) *Store {
+	return &Store{limits: limits, entries: map[string]*entry{}, gone: map[string]change{}, joined: map[int64][]byte{},
+		ticked: now}
+}
+
+// forget drops the history: what there was before is no list that anybody may
+// go on from.
+func (s *Store) forget() {
+	s.changes, s.bytes, s.from = nil, 0, s.version
+	clear(s.gone)
+}
+
+// put takes a change in under its version.
+func (s *Store) put(i Instance, version int64, now time.Duration) error {
+	text, err := json.Marshal(i)
+	if err != nil {
+		return err
+	}
+	s.stats.Encoded++
+	s.version = version
+	clear(s.joined)
+	c := change{version, i.ID, i.StartedAtMs, text}
+	if i.Lifecycle == Gone {
+		delete(s.entries, i.ID)
+		s.gone[i.ID] = c
+	} else {
+		s.entries[i.ID] = &entry{Instance: i, version: version, text: text, expires: now + s.limits.Lease}
+		delete(s.gone, i.ID)
+	}
+	s.changes = append(s.changes, c)
+	s.bytes += len(text)
+	for len(s.changes) > s.limits.History || s.bytes > s.limits.HistoryBytes && len(s.changes) > 0 {
+		old := s.changes[0]
+		s.changes[0] = change{}
+		s.changes = s.changes[1:]
+		s.bytes -= len(old.text)
+		s.from = old.version
+		if s.gone[old.id].version == old.version {
+			delete(s.gone, old.id)
+		}
+	}
+	return nil
+}
+
+// commit makes a change last and takes it in.
+func (s *Store) commit(i Instance, now time.Duration) error {
+	if err := s.log.Append(Record{s.history, s.version + 1, i}); err != nil {
+		return refuse(http.StatusServiceUnavailable, "the change could not be kept: %v", err)
+	}
+	return s.put(i, s.version+1, now)
+}
+
+// expected holds a write to the version that it names, if it does.
+func (s *Store) expected(id string, version *int64) error {
+	have := int64(0)
+	if e := s.entries[id]; e != nil {
+		have = e.version
+	}
+	if version != nil && *version != have {
+		return refuse(http.StatusPreconditionFailed, "%s is at version %d, not %d", id, have, *version)
+	}
+	return nil
+}
+
+// Register puts an instance on the list, or renews it if it is there as it is. It
+// returns the instance's version. Of a process that is there already, the
+// lifecycle stays: a registration that is made again must not undo a drain.
+func (s *Store) Register(now time.Duration, i Instance, expect *int64) (int64, error) {
+	if err := i.check(); err != nil {
+		return 0, refuse(http.StatusBadRequest, "%v", err)
+	}
+	if i.Lifecycle == Gone {
+		return 0, refuse(http.StatusBadRequest, "lifecycle: an instance that is Gone leaves")
+	}
+	if err := s.expected(i.ID, expect); err != nil {
+		return 0, err
+	}
+	e := s.entries[i.ID]
+	switch {
+	case e == nil:
+		if last, was := s.gone[i.ID]; was && last.started > i.StartedAtMs {
+			return 0, refuse(http.StatusConflict, "%s has been on the list with a later start, %d", i.ID, last.started)
+		}
+		if len(s.entries) >= s.limits.Instances {
+			return 0, refuse(http.StatusConflict, "the list is full with %d instances", len(s.entries))
+		}
+	case e.StartedAtMs > i.StartedAtMs:
+		return 0, refuse(http.StatusConflict, "%s is on the list with a later start, %d", i.ID, e.StartedAtMs)
+	case e.StartedAtMs == i.StartedAtMs && e.HostPort != i.HostPort:
+		return 0, refuse(http.StatusConflict, "%s is on the list with the same start at %s", i.ID, e.HostPort)
+	case e.StartedAtMs == i.StartedAtMs:
+		i.Lifecycle = e.Lifecycle
+		if i == e.Instance {
+			s.renew(now, e)
+			return e.version, nil
+		}
+	}
+	if err := s.commit(i, now); err != nil {
+		return 0, err
+	}
+	s.stats.Registered++
+	return s.version, nil
+}
+
+// own returns the entry of the process with this id and start.
+func (s *Store) own(id string, started int64) (*entry, error) {
+	e := s.entries[id]
+	switch {
+	case e == nil:
+		return nil, refuse(http.StatusNotFound, "%s is not on the list", id)
+	case e.StartedAtMs != started:
+		return nil, refuse(http.StatusConflict, "%s is on the list with the start %d, not %d", id, e.StartedAtMs, started)
+	}
+	return e, nil
+}
+
+// Renew begins an instance's lease anew.
+func (s *Store) Renew(now time.Duration, id string, started int64) (int64, error) {
+	e, err := s.own(id, started)
+	if err != nil {
+		return 0, err
+	}
+	s.renew(now, e)
+	return e.version, nil
+}
+
+func (s *Store) renew(now time.Duration, e *entry) {
+	e.expires = now + s.limits.Lease
+	s.stats.Renewed++
+}
+
+// SetLifecycle changes what an instance does, and renews it.
+func (s *Store) SetLifecycle(now time.Duration, id string, started int64, l Lifecycle, expect *int64) (int64, error) {
+	if l != Ready && l != Terminating {
+		return 0, refuse(http.StatusBadRequest, "lifecycle: %.80q is not Ready or Terminating", l)
+	}
+	e, err := s.own(id, started)
+	if err == nil {
+		err = s.expected(id, expect)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if e.Lifecycle == l {
+		s.renew(now, e)
+		return e.version, nil
+	}
+	i := e.Instance
+	i.Lifecycle = l
+	err = s.commit(i, now)
+	return s.version, err
+}
+
+// Leave takes an instance off the list. One that is not there has left.
+func (s *Store) Leave(now time.Duration, id string, started int64, expect *int64) (int64, error) {
+	if s.entries[id] == nil {
+		return s.version, nil
+	}
+	e, err := s.own(id, started)
+	if err == nil {
+		err = s.expected(id, expect)
+	}
+	if err != nil {
+		return 0, err
+	}
+	i := e.Instance
+	i.Lifecycle = Gone
+	err = s.commit(i, now)
+	return s.version, err
+}
+
+// Tick lets leases lapse. It wants to be called often; a long time between two
+// calls was a pause of the service, in which nobody could renew.
+func (s *Store) Tick(now time.Duration) error {
+	since := now - s.ticked
+	s.ticked = now
+	if since > s.limits.Lease/pauseShare {
+		s.stats.Pauses++
+		for _, e := range s.entries {
+			e.expires = max(e.expires, now+s.limits.Lease)
+		}
+	}
+	list := float64(len(s.entries))
+	s.credit = min(s.credit+since.Seconds()*max(lapseShare*list, 1), max(lapseBurst*list, 1))
+	var over []*entry
+	for _, e := range s.entries {
+		if e.expires <= now {
+			over = append(over, e)
+		}
+	}
+	slices.SortFunc(over, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.expires, b.expires), cmp.Compare(a.ID, b.ID))
+	})
+	for len(over) > 0 && s.credit >= 1 {
+		i := over[0].Instance
+		i.Lifecycle = Gone
+		if err := s.commit(i, now); err != nil {
+			return err
+		}
+		s.credit--
+		s.stats.Lapsed++
+		over = over[1:]
+	}
+	s.stats.Overdue = len(over)
+	return nil
+}
+
+// Answer is what a reader is told.
+type Answer struct {
+	Body    []byte // not to be changed
+	Whole   bool
+	Nothing bool // there is nothing new
+}
+
+// Read answers one who asks for the whole list (since below 0), or for what has
+// changed since a version of a history. An empty name stands for any history.
+func (s *Store) Read(now time.Duration, since int64, history string) (Answer, error) {
+	if now < s.gathering {
+		return Answer{}, refuse(http.StatusServiceUnavailable, "the list is not whole yet")
+	}
+	same := history == "" || history == s.history
+	switch {
+	case since < 0, !same, since < s.from:
+		return Answer{Body: s.join(-1), Whole: true}, nil
+	case since > s.version:
+		return Answer{}, refuse(http.StatusBadRequest, "since: version %d is yet to come, this is %d", since, s.version)
+	}
+	return Answer{Body: s.join(since), Nothing: since == s.version}, nil
+}
+
+// join puts an answer together, once for all that ask from the same version.
+func (s *Store) join(since int64) []byte {
+	if body, there := s.joined[since]; there {
+		return body
+	}
+	var texts [][]byte
+	if since < 0 {
+		for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+			texts = append(texts, s.entries[id].text)
+		}
+	} else {
+		seen := map[string]bool{}
+		for n := len(s.changes) - 1; n >= 0 && s.changes[n].version > since; n-- {
+			if c := s.changes[n]; !seen[c.id] {
+				seen[c.id] = true
+				texts = append(texts, c.text)
+			}
+		}
+		slices.Reverse(texts)
+	}
+	s.stats.Joined++
+	body := []byte(`{"generation":` + strconv.FormatInt(s.version, 10) + `,"reset":` + strconv.FormatBool(since < 0) + `,"instances":[`)
+	body = append(append(body, bytes.Join(texts, []byte(","))...), "]}\n"...)
+	if len(s.joined) >= mostJoined {
+		clear(s.joined)
+	}
+	s.joined[since] = body
+	return body
+}
+
+// Copy takes in what a writer has told, under its own versions. Danger: all that
+// is told goes into the history, also what this follower has already. A reader may
+// come from the writer, between two versions that are one step here. A whole list
+// does not tell what has changed, so nobody may go on from before it.
+func (s *Store) Copy(now time.Duration, l Listing, history string) error {
+	if l.Reset {
+		clear(s.entries)
+	}
+	s.history = history
+	for _, i := range l.Instances {
+		if err := s.put(i, l.Generation, now); err != nil {
+			return err
+		}
+	}
+	s.version = l.Generation
+	clear(s.joined)
+	if l.Reset {
+		s.forget()
+	}
+	return nil
+}
+
+// Stats returns the figures.
+func (s *Store) Stats() Stats {
+	st := s.stats
+	st.Version, st.Instances, st.History, st.Bytes = s.version, len(s.entries), len(s.changes), s.bytes
+	return st
+}
--- /dev/null
+++ b/internal/registry/store_test.go
@@ -0,0 +1,446 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var testLimits = Limits{Lease: 10 * time.Second, Instances: 50, History: 40, HistoryBytes: 1 << 20}
+
+func newTestStore(t *testing.T, limits Limits, log Log, now time.Duration) *Store {
+	t.Helper()
+	s, err := NewStore(limits, log, "h1", 1000, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.gathering = 0
+	return s
+}
+
+func inst(id string, started int64) Instance {
+	return Instance{ID: id, HostPort: "127.0.0.1:80", Zone: "a", MachineType: "m", Lifecycle: Ready, Weight: 1, StartedAtMs: started}
+}
+
+func status(err error) int {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Status
+	}
+	return 0
+}
+
+// Writes mean the same when they are made again, and one process can't write for
+// another.
+func TestWrites(t *testing.T) {
+	s := newTestStore(t, testLimits, NewMemory(), 0)
+	p := func(n int64) *int64 { return &n }
+	moved, weighty := inst("a", 5), inst("a", 5)
+	moved.HostPort, weighty.Weight = "127.0.0.1:81", 2
+	gone := inst("z", 1)
+	gone.Lifecycle = Gone
+	for n, step := range []struct {
+		do      func() (int64, error)
+		status  int // 0: done
+		version int64
+	}{
+		{func() (int64, error) { return s.Register(0, inst("a", 5), p(7)) }, http.StatusPreconditionFailed, 1000},
+		{func() (int64, error) { return s.Register(0, inst("a", 5), p(0)) }, 0, 1001},
+		{func() (int64, error) { return s.Register(0, inst("a", 5), nil) }, 0, 1001},                   // again
+		{func() (int64, error) { return s.Register(0, moved, nil) }, http.StatusConflict, 1001},        // two processes, one start
+		{func() (int64, error) { return s.Register(0, inst("a", 4), nil) }, http.StatusConflict, 1001}, // an old one
+		{func() (int64, error) { return s.Register(0, weighty, p(1001)) }, 0, 1002},
+		{func() (int64, error) { return s.Renew(0, "a", 4) }, http.StatusConflict, 1002},
+		{func() (int64, error) { return s.Renew(0, "b", 4) }, http.StatusNotFound, 1002},
+		{func() (int64, error) { return s.Renew(0, "a", 5) }, 0, 1002},
+		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, "Asleep", nil) }, http.StatusBadRequest, 1002},
+		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1001)) }, http.StatusPreconditionFailed, 1002},
+		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1002)) }, 0, 1003},
+		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, nil) }, 0, 1003},
+		{func() (int64, error) { return s.Register(0, weighty, nil) }, 0, 1003}, // does not undo the drain
+		{func() (int64, error) { return s.Register(0, inst("a", 6), nil) }, 0, 1004},
+		{func() (int64, error) { return s.Renew(0, "a", 5) }, http.StatusConflict, 1004}, // the old process
+		{func() (int64, error) { return s.Leave(0, "a", 5, nil) }, http.StatusConflict, 1004},
+		{func() (int64, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
+		{func() (int64, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
+		{func() (int64, error) { return s.Register(0, inst("a", 5), nil) }, http.StatusConflict, 1005}, // back from the dead
+		{func() (int64, error) { i := moved; i.StartedAtMs = 7; return s.Register(0, i, nil) }, 0, 1006},
+		{func() (int64, error) { return s.Register(0, gone, nil) }, http.StatusBadRequest, 1006},
+	} {
+		version, err := step.do()
+		if status(err) != step.status || (err == nil) != (step.status == 0) || s.version != step.version ||
+			err == nil && version != s.version {
+			t.Fatalf("step %d: %v, version %d of %d; want status %d, version %d", n, err, version, s.version, step.status, step.version)
+		}
+	}
+	for i := len(s.entries); i < testLimits.Instances; i++ {
+		if _, err := s.Register(0, inst(fmt.Sprint("x", i), 1), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := s.Register(0, inst("more", 1), nil); status(err) != http.StatusConflict {
+		t.Errorf("beyond the limit: %v", err)
+	}
+}
+
+// What could not be made to last has not happened.
+func TestLogThatFails(t *testing.T) {
+	log := &failing{Log: NewMemory()}
+	s := newTestStore(t, testLimits, log, 0)
+	s.Register(0, inst("a", 1), nil)
+	log.fails = true
+	before, _ := s.Read(0, -1, "")
+	for _, do := range []func() (int64, error){
+		func() (int64, error) { return s.Register(0, inst("b", 1), nil) },
+		func() (int64, error) { return s.SetLifecycle(0, "a", 1, Terminating, nil) },
+		func() (int64, error) { return s.Leave(0, "a", 1, nil) },
+	} {
+		if _, err := do(); status(err) != http.StatusServiceUnavailable {
+			t.Errorf("%v", err)
+		}
+	}
+	if after, _ := s.Read(0, -1, ""); string(after.Body) != string(before.Body) {
+		t.Errorf("%s, before %s", after.Body, before.Body)
+	}
+}
+
+type failing struct {
+	Log
+	fails bool
+}
+
+func (f *failing) Append(r Record) error {
+	if f.fails {
+		return errors.New("no room")
+	}
+	return f.Log.Append(r)
+}
+
+// A lease that runs out makes its instance Gone, and many at once go slowly.
+func TestLapses(t *testing.T) {
+	s := newTestStore(t, testLimits, NewMemory(), 0)
+	for n := range 40 {
+		s.Register(0, inst(fmt.Sprintf("i%02d", n), 1), nil)
+	}
+	left := len(s.entries)
+	for now := time.Duration(0); now < 30*time.Second; now += tickGap {
+		if now < 9*time.Second {
+			s.Renew(now, "i00", 1)
+		}
+		if err := s.Tick(now); err != nil {
+			t.Fatal(err)
+		}
+		if now < testLimits.Lease && len(s.entries) < 40 {
+			t.Fatalf("%d left at %v", len(s.entries), now)
+		}
+		if gone := left - len(s.entries); gone > 4 {
+			t.Fatalf("%d gone at once", gone)
+		}
+		left = len(s.entries)
+		if now == 11*time.Second {
+			if st := s.Stats(); st.Overdue == 0 || left < 40-4-3 {
+				t.Errorf("%d left, %d overdue a second after all ran out", left, st.Overdue)
+			}
+			s.Renew(now, "i39", 1) // one that comes late is not too late
+		}
+		if now > 11*time.Second && now < 21*time.Second && s.entries["i39"] == nil {
+			t.Fatalf("one that was renewed late has gone at %v", now)
+		}
+		if now == 15*time.Second && s.entries["i00"] == nil {
+			t.Error("one that was renewed has gone")
+		}
+	}
+	if len(s.entries) > 20 {
+		t.Errorf("%d left at the end", len(s.entries))
+	}
+	if st := s.Stats(); int(st.Lapsed) != 40-left || st.Pauses != 0 {
+		t.Errorf("%+v", st)
+	}
+}
+
+// After a start, or a time in which the service stood still, nobody goes before a
+// full lease has passed.
+func TestNobodyLapsesForTheServicesOwnPause(t *testing.T) {
+	log := NewMemory()
+	s := newTestStore(t, testLimits, log, 0)
+	for n := range 10 {
+		s.Register(0, inst(fmt.Sprint(n), 1), nil)
+	}
+	s.Tick(tickGap)
+	now := time.Hour // it stood still, past every lease
+	for end := now + testLimits.Lease; now < end; now += tickGap {
+		if s.Tick(now); len(s.entries) < 10 {
+			t.Fatalf("%d left, %v after the pause", len(s.entries), now-time.Hour)
+		}
+	}
+	if s.Tick(now + tickGap); len(s.entries) == 10 {
+		t.Error("nobody goes at all")
+	}
+	if s.Stats().Pauses != 1 {
+		t.Errorf("%d pauses", s.Stats().Pauses)
+	}
+	again, err := NewStore(testLimits, log, "h2", 5000, 0) // on the same log, and a clock of its own
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.history != "h1" || again.version != s.version || len(again.entries) != len(s.entries) {
+		t.Errorf("history %s, version %d, %d instances after a restart", again.history, again.version, len(again.entries))
+	}
+	if a, err := again.Read(0, s.version, "h1"); err != nil || !a.Nothing {
+		t.Errorf("at the last version: %+v, %v", a, err)
+	}
+	left := len(again.entries)
+	for now := time.Duration(0); now < testLimits.Lease; now += tickGap {
+		if again.Tick(now); len(again.entries) < left {
+			t.Fatalf("%d left %v after the start", len(again.entries), now)
+		}
+	}
+}
+
+// A service that begins with nothing tells no list until all could register.
+func TestGathering(t *testing.T) {
+	s, err := NewStore(testLimits, NewMemory(), "h1", 1000, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Register(time.Second, inst("a", 1), nil)
+	if _, err := s.Read(10*time.Second, -1, ""); status(err) != http.StatusServiceUnavailable {
+		t.Errorf("%v", err)
+	}
+	if a, err := s.Read(11*time.Second, -1, ""); err != nil || !a.Whole {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
+
+// Changes are joined for one that lags, encoded once, and kept within bounds.
+func TestHistory(t *testing.T) {
+	limits := testLimits
+	s := newTestStore(t, limits, NewMemory(), 0)
+	for n := range int64(100) {
+		if _, err := s.Register(0, inst("a", n), nil); err != nil {
+			t.Fatal(err)
+		}
+		if st := s.Stats(); st.History > limits.History || st.Bytes > limits.HistoryBytes {
+			t.Fatalf("%+v", st)
+		}
+	}
+	if s.Stats().Encoded != 100 {
+		t.Errorf("%d encoded", s.Stats().Encoded)
+	}
+	for range 300 {
+		if a, err := s.Read(0, 1080, "h1"); err != nil || a.Whole || strings.Count(string(a.Body), "instanceId") != 1 {
+			t.Fatalf("%s %v", a.Body, err)
+		}
+	}
+	if s.Stats().Joined != 1 {
+		t.Errorf("%d joined", s.Stats().Joined)
+	}
+	for _, c := range []struct {
+		since   int64
+		history string
+		whole   bool
+		status  int
+	}{{1060, "", false, 0}, {1059, "", true, 0}, {1100, "", false, 0}, {1080, "other", true, 0}, {1101, "", false, 400}, {-1, "", true, 0}} {
+		if a, err := s.Read(0, c.since, c.history); status(err) != c.status || a.Whole != c.whole {
+			t.Errorf("since %d of %q: whole %t, %v", c.since, c.history, a.Whole, err)
+		}
+	}
+	limits.HistoryBytes = 2000
+	small := newTestStore(t, limits, NewMemory(), 0)
+	for n := range int64(100) {
+		if small.Register(0, inst("a", n), nil); small.Stats().Bytes > limits.HistoryBytes {
+			t.Fatalf("%+v", small.Stats())
+		}
+	}
+	if small.Stats().History < 2 {
+		t.Errorf("%+v", small.Stats())
+	}
+}
+
+// world is a writer, a follower, readers of both, and what the list was at each
+// version of each history.
+type world struct {
+	t        *testing.T
+	random   *rand.Rand
+	now      time.Duration
+	log      *Memory
+	writer   *Store
+	follower *Store
+	copying  *Feed
+	readers  []*Feed
+	models   map[string]map[string]Instance // by history and version
+	seen     map[*Feed]map[string]int64     // the version a reader was at, by history
+	named    int
+}
+
+func at(history string, version int64) string { return fmt.Sprint(history, "/", version) }
+
+func (w *world) remember() {
+	w.models[at(w.writer.history, w.writer.version)] = w.list(w.writer)
+}
+
+func (w *world) list(s *Store) map[string]Instance {
+	list := map[string]Instance{}
+	for id, e := range s.entries {
+		list[id] = e.Instance
+	}
+	return list
+}
+
+func (w *world) begin(log *Memory) {
+	w.named++
+	s, err := NewStore(testLimits, log, fmt.Sprint("h", w.named), int64(w.named)*100_000, w.now)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.log, w.writer = log, s
+	w.remember()
+}
+
+// read makes one call for a reader, whose answer may be lost.
+func (w *world) read(f *Feed) {
+	ask := f.Next()
+	from := w.writer
+	if ask.Address == "follower" {
+		from = w.follower
+	}
+	since := ask.Since
+	if ask.Whole {
+		since = -1
+	}
+	a, err := from.Read(w.now, since, ask.History)
+	if err != nil || w.random.IntN(5) == 0 {
+		f.Failed(0)
+		return
+	}
+	text := a.Body
+	if w.random.IntN(10) == 0 {
+		text = text[:w.random.IntN(len(text))] // cut short
+	}
+	l, err := ParseListing(text)
+	if err != nil {
+		f.Failed(0)
+		return
+	}
+	history := from.history
+	was := maps.Clone(f.known)
+	news, err := f.Answered(l, history, 0)
+	if err != nil {
+		f.Failed(0)
+		return
+	}
+	if v := w.seen[f][history]; l.Generation < v {
+		w.t.Fatalf("a reader goes back from %d to %d of %s", v, l.Generation, history)
+	}
+	w.seen[f][history] = l.Generation
+	if want := w.models[at(history, l.Generation)]; !maps.Equal(f.known, want) {
+		w.t.Fatalf("at %s/%d a reader has %v, the list was %v", history, l.Generation, f.known, want)
+	}
+	// What the reader tells on leads to the same list.
+	if news.Reset {
+		clear(was)
+	}
+	for _, i := range news.Instances {
+		if was[i.ID] == i {
+			w.t.Fatalf("told as news: %v", i)
+		}
+		if was[i.ID] = i; i.Lifecycle == Gone {
+			delete(was, i.ID)
+		}
+	}
+	if !maps.Equal(was, f.known) {
+		w.t.Fatalf("the news lead to %v, the list is %v", was, f.known)
+	}
+	if f == w.copying {
+		w.follower.gathering = 0
+		if err := w.follower.Copy(w.now, l, history); err != nil {
+			w.t.Fatal(err)
+		}
+		if !maps.Equal(w.list(w.follower), f.known) || w.follower.version != l.Generation {
+			w.t.Fatalf("the follower has %v at %d, its reader %v at %d", w.list(w.follower), w.follower.version, f.known, l.Generation)
+		}
+	}
+}
+
+// Whatever happens, and whatever gets lost, every reader has the list as it was at
+// the version that it is at, never goes back, and comes to the last in the end.
+func TestAgainstModel(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		w := &world{t: t, random: random, models: map[string]map[string]Instance{}, seen: map[*Feed]map[string]int64{}}
+		w.begin(NewMemory())
+		w.follower = newStore(testLimits, 0)
+		w.follower.gathering = 1 << 62
+		w.copying = NewFeed([]string{"writer"}, random)
+		for range 6 {
+			w.readers = append(w.readers, NewFeed([]string{"writer", "follower"}, random))
+		}
+		all := append(slices.Clone(w.readers), w.copying)
+		for _, f := range all {
+			w.seen[f] = map[string]int64{}
+		}
+		starts := int64(1)
+		for range 1500 {
+			w.now += time.Duration(random.IntN(300)) * time.Millisecond
+			id := fmt.Sprint("i", random.IntN(12))
+			e := w.writer.entries[id]
+			switch random.IntN(12) {
+			case 0, 1:
+				starts++
+				i := inst(id, starts)
+				i.HostPort = fmt.Sprintf("127.0.0.1:%d", 1+random.IntN(60000))
+				w.writer.Register(w.now, i, nil)
+			case 2:
+				if e != nil {
+					w.writer.SetLifecycle(w.now, id, e.StartedAtMs, []Lifecycle{Ready, Terminating}[random.IntN(2)], nil)
+				}
+			case 3:
+				if e != nil {
+					w.writer.Leave(w.now, id, e.StartedAtMs-int64(random.IntN(2)), nil)
+				}
+			case 4, 5:
+				if e != nil {
+					w.writer.Renew(w.now, id, e.StartedAtMs)
+				}
+			case 6:
+				// One at a time, so that the list at each version is known.
+				w.writer.credit = 0
+				w.writer.Tick(w.now)
+			case 7:
+				w.read(w.copying)
+			case 8:
+				if random.IntN(40) == 0 {
+					switch random.IntN(3) {
+					case 0: // the writer starts again from its log
+						w.begin(w.log)
+					case 1: // or from nothing
+						w.begin(NewMemory())
+					case 2: // it stands still
+						w.now += time.Minute
+					}
+				}
+			default:
+				w.read(w.readers[random.IntN(len(w.readers))])
+			}
+			w.remember()
+		}
+		w.now += time.Minute
+		for range 200 {
+			for _, f := range all {
+				w.read(f)
+			}
+		}
+		for n, f := range all {
+			if f.history != w.writer.history || f.version != w.writer.version || !maps.Equal(f.known, w.list(w.writer)) {
+				t.Fatalf("seed %d: reader %d ends at %s/%d with %v; the list is at %s/%d with %v", seed, n, f.history, f.version,
+					f.known, w.writer.history, w.writer.version, w.list(w.writer))
+			}
+		}
+	}
+}
