Give the connections of clients an owner: states, fair shares, room for new ones

The listener stopped at a limit and the server closed after answers from 80% on; nothing told a good client from one that takes every place. Now a table of all connections (internal/connlimit, a state machine) says which gives its place up when places run short: of the source that has most, the idle longest first, then the silent, then slow heads, never one in a request. A source that has its share is told at once, others wait in the queue. Running out of descriptors at accept waits with a doubling pause. Half-open peers end by TCP_USER_TIMEOUT, on both sides' sockets. SIGHUP takes new limits for sockets and memory. The old limit listener is gone.

In a rush of 500 against 256 descriptors the program never held more.

--- a/cmd/elderyard/main_test.go
+++ b/cmd/elderyard/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -97,6 +98,61 @@
 	}
 }
 
+// In a rush of more connections than it may hold, a gateway never holds more
+// descriptors than that, and takes others once these have gone.
+func TestDescriptorsInRush(t *testing.T) {
+	discovery, asked := registry(t)
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.Addr().String()
+	probe.Close()
+	cmd, stderr, _ := command(t, strings.Replace(config(discovery), "127.0.0.1:0", address, 1))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	wait(t, asked, "discovery")
+	most := 0
+	look := func() {
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
+		if err != nil {
+			t.Fatal(err, stderr)
+		}
+		most = max(most, len(files))
+	}
+	var conns []net.Conn
+	for n := range 500 {
+		c, err := net.DialTimeout("tcp", address, 20*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+		if n%3 == 0 {
+			io.WriteString(c, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+		look()
+	}
+	for _, c := range conns {
+		c.Close()
+		look()
+	}
+	if most > 256 || most < 50 {
+		t.Errorf("%d descriptors of 256", most)
+	}
+	resp, err := (&http.Client{Timeout: 20 * time.Second}).Get("http://" + address + "/health/ready")
+	if err != nil {
+		t.Fatalf("after the rush: %v\n%s", err, stderr)
+	}
+	resp.Body.Close()
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v, saying %q", err, stderr)
+	}
+}
+
 // A hangup moves the gateway to the addresses of the new configuration. One that
 // can't be read changes nothing, and neither ends the program.
 func TestSighup(t *testing.T) {
--- /dev/null
+++ b/internal/connlimit/table.go
@@ -0,0 +1,352 @@
+// Package connlimit decides which clients' connections a gateway takes and which
+// it gives up for them. It is a state machine: it is told what happens on
+// connections, and says what to close.
+package connlimit
+
+import (
+	"cmp"
+	"container/heap"
+	"net/netip"
+	"time"
+)
+
+// Limits bound a Table.
+type Limits struct {
+	Total int // connections
+}
+
+// State is what a connection is doing.
+type State int
+
+// The states. One that is Busy is never given up for another.
+const (
+	New  State = iota // no byte has come
+	Head              // the head of a request is coming
+	Busy              // in a request
+	Idle              // between requests
+	states
+)
+
+const (
+	// Grace is how long a new connection may say nothing before it can be given up
+	// for another, and HeadGrace how long a head may take.
+	Grace     = 250 * time.Millisecond
+	HeadGrace = time.Second
+	// A part of the places is what the New and Head ones of one source may take
+	// together: a client that has a request sends it.
+	opening = 2
+	// An eighth of the places is free or idle, or goes to sources below their share
+	// alone: those in a request can't be given up, however many one source has.
+	reserve = 8
+)
+
+// Conn is one connection. Its owner keeps it and hands it back.
+type Conn struct {
+	source *source
+	state  State
+	since  time.Duration // in this state
+	older  *Conn         // in its source's list of those in its state
+	newer  *Conn
+}
+
+// State returns what the connection is doing.
+func (c *Conn) State() State { return c.state }
+
+// list has the connections of one source in one state, those longest in it first.
+type list struct{ oldest, newest *Conn }
+
+func (l *list) push(c *Conn) {
+	if c.older = l.newest; l.newest != nil {
+		l.newest.newer = c
+	} else {
+		l.oldest = c
+	}
+	l.newest = c
+}
+
+func (l *list) remove(c *Conn) {
+	if c.older != nil {
+		c.older.newer = c.newer
+	} else {
+		l.oldest = c.newer
+	}
+	if c.newer != nil {
+		c.newer.older = c.older
+	} else {
+		l.newest = c.older
+	}
+	c.older, c.newer = nil, nil
+}
+
+// source is where connections come from. It is forgotten with the last of them.
+type source struct {
+	address netip.Addr
+	open    int
+	opening int          // New and Head
+	in      [states]list // but Busy, which are in none
+	at      int          // in the heap; -1: it has none to give up
+}
+
+// first returns the connection that the source would give up first, and from when
+// on it may.
+func (s *source) first() (c *Conn, from time.Duration) {
+	switch {
+	case s.in[Idle].oldest != nil:
+		c = s.in[Idle].oldest
+		return c, c.since
+	case s.in[New].oldest != nil:
+		c = s.in[New].oldest
+		return c, c.since + Grace
+	case s.in[Head].oldest != nil:
+		c = s.in[Head].oldest
+		return c, c.since + HeadGrace
+	}
+	return nil, 0
+}
+
+// Table has all connections. Its cost for an event grows with the logarithm of the
+// number of sources, of which there are no more than connections.
+type Table struct {
+	limits  Limits
+	open    int
+	in      [states]int
+	sources map[netip.Addr]*source
+	giving  givers
+}
+
+// New returns a table with nothing in it.
+func NewTable(limits Limits) *Table {
+	return &Table{limits: limits, sources: map[netip.Addr]*source{}}
+}
+
+// Source is the address that connections are counted by: an IPv4 address is the
+// same however it is written.
+func Source(a netip.Addr) netip.Addr { return a.Unmap().WithZone("") }
+
+// Open takes a new connection from an address, and names one that gives its place
+// up, or none. If there is no place it returns nil, and whether the source has its
+// share already. Whoever has most gives up first, so that all have as many, but for
+// one, when all want more.
+func (t *Table) Open(now time.Duration, address netip.Addr) (c *Conn, over bool, victim *Conn) {
+	address = Source(address)
+	s := t.sources[address]
+	has := 0
+	if s != nil {
+		has = s.open
+	}
+	over = t.over(s, has)
+	switch {
+	case s != nil && s.opening >= max(t.limits.Total/opening, 1):
+		if victim = s.unread(now); victim == nil {
+			return nil, true, nil
+		}
+	case t.open >= t.limits.Total || over && t.limits.Total-t.open+t.in[Idle] <= t.limits.Total/reserve:
+		if victim = t.victim(now, s, has); victim == nil {
+			return nil, over, nil
+		}
+	}
+	if s == nil {
+		s = &source{address: address, at: -1}
+		t.sources[address] = s
+	}
+	c = &Conn{source: s, state: New, since: now}
+	s.open++
+	t.open++
+	t.enter(c)
+	t.fix(s)
+	if victim != nil {
+		t.Close(victim)
+	}
+	return c, over, victim
+}
+
+// over tells whether a source that has so many, and wants one more, has its share
+// already. A source that is alone may have all.
+func (t *Table) over(s *source, has int) bool {
+	sources := len(t.sources)
+	if s == nil {
+		sources++
+	}
+	return has >= (t.limits.Total+sources-1)/sources
+}
+
+// victim returns the connection that makes room for one of a source that has so
+// many: that of the source that has most, which may be its own.
+func (t *Table) victim(now time.Duration, s *source, has int) *Conn {
+	if len(t.giving) == 0 {
+		return nil
+	}
+	v := t.giving[0]
+	if v.open <= has && v != s {
+		// It has no more than the one that wants a place, which makes do with its own.
+		if v = s; s == nil || s.at < 0 {
+			return nil
+		}
+	}
+	if c, from := v.first(); from <= now {
+		return c
+	}
+	return nil
+}
+
+// unread returns the connection of a source with too many New and Head ones that
+// makes room for another.
+func (s *source) unread(now time.Duration) *Conn {
+	if c := s.in[New].oldest; c != nil && c.since+Grace <= now {
+		return c
+	}
+	if c := s.in[Head].oldest; c != nil && c.since+HeadGrace <= now {
+		return c
+	}
+	return nil
+}
+
+// Room tells whether to accept another connection, and if not, after how long to
+// look again, if nothing happens before; 0: only then. While all places are in use
+// by requests, connections wait in the listener's queue.
+func (t *Table) Room(now time.Duration) (ok bool, look time.Duration) {
+	if t.open < t.limits.Total {
+		return true, 0
+	}
+	if len(t.giving) == 0 {
+		return false, 0
+	}
+	if _, from := t.giving[0].first(); from > now {
+		return false, from - now
+	}
+	return true, 0
+}
+
+// Set tells what a connection is doing now. One that was closed does nothing any
+// more.
+func (t *Table) Set(now time.Duration, c *Conn, state State) {
+	if c.source == nil || c.state == state {
+		return
+	}
+	t.leave(c)
+	c.state, c.since = state, now
+	t.enter(c)
+	t.fix(c.source)
+}
+
+func (t *Table) enter(c *Conn) {
+	t.in[c.state]++
+	if c.state != Busy {
+		c.source.in[c.state].push(c)
+	}
+	if c.state == New || c.state == Head {
+		c.source.opening++
+	}
+}
+
+func (t *Table) leave(c *Conn) {
+	t.in[c.state]--
+	if c.state != Busy {
+		c.source.in[c.state].remove(c)
+	}
+	if c.state == New || c.state == Head {
+		c.source.opening--
+	}
+}
+
+// Close tells that a connection has ended. It may be told more than once.
+func (t *Table) Close(c *Conn) {
+	s := c.source
+	if s == nil {
+		return
+	}
+	t.leave(c)
+	c.source = nil
+	t.open--
+	if s.open--; s.open == 0 {
+		delete(t.sources, s.address)
+	}
+	t.fix(s)
+}
+
+// Limit puts other limits in force, and returns those that have to go for them. No
+// head is cut off, and no request.
+func (t *Table) Limit(limits Limits) (victims []*Conn) {
+	t.limits = limits
+	for t.open > limits.Total {
+		var most *source
+		for _, s := range t.sources {
+			if (s.in[Idle].oldest != nil || s.in[New].oldest != nil) && (most == nil || s.open > most.open) {
+				most = s
+			}
+		}
+		if most == nil {
+			break
+		}
+		c := cmp.Or(most.in[Idle].oldest, most.in[New].oldest)
+		t.Close(c)
+		victims = append(victims, c)
+	}
+	return victims
+}
+
+// Counts are a Table's figures.
+type Counts struct {
+	Open    int
+	In      [states]int
+	Sources int
+	Over    int // sources with more than their share, while places run short
+}
+
+// Counts returns them.
+func (t *Table) Counts() Counts {
+	n := Counts{Open: t.open, In: t.in, Sources: len(t.sources)}
+	if t.open >= t.limits.Total-t.limits.Total/reserve {
+		for _, s := range t.sources {
+			if t.over(s, s.open-1) {
+				n.Over++
+			}
+		}
+	}
+	return n
+}
+
+// fix puts a source where it belongs among those that can give up connections.
+func (t *Table) fix(s *source) {
+	c, _ := s.first()
+	gives := c != nil
+	switch {
+	case gives && s.at < 0:
+		heap.Push(&t.giving, s)
+	case gives:
+		heap.Fix(&t.giving, s.at)
+	case s.at >= 0:
+		heap.Remove(&t.giving, s.at)
+	}
+}
+
+// compared counts comparisons, for measurements.
+var compared int
+
+// givers has the source first that has most; of equals, that with the connection
+// that stands longest.
+type givers []*source
+
+func (g givers) Len() int { return len(g) }
+func (g givers) Less(i, j int) bool {
+	compared++
+	if g[i].open != g[j].open {
+		return g[i].open > g[j].open
+	}
+	_, from := g[i].first()
+	_, other := g[j].first()
+	return from < other
+}
+func (g givers) Swap(i, j int) { g[i], g[j] = g[j], g[i]; g[i].at, g[j].at = i, j }
+func (g *givers) Push(s any) {
+	s.(*source).at = len(*g)
+	*g = append(*g, s.(*source))
+}
+func (g *givers) Pop() any {
+	old := *g
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	s.at = -1
+	*g = old[:len(old)-1]
+	return s
+}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -397,11 +397,12 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	defer context.AfterFunc(t.ctx, cancel)()
-	d := net.Dialer{KeepAlive: -1} // it would not notice a silent machine in time
+	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", t.address)
 	if err != nil {
 		return nil, err
 	}
+	limitSilence(conn) // what it can't notice in time, time-outs do
 	return newBackendConn(conn, t), nil
 }
 
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -121,3 +122,39 @@
 		})
 	}
 }
+
+// BenchmarkIdle counts the memory of a connection that rests after a request.
+func BenchmarkIdle(b *testing.B) {
+	r := newRig(b, pipeline(b, 0, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")))
+	use := func() int64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc + m.StackInuse)
+	}
+	const conns = 400
+	var all []net.Conn
+	in := make([]byte, 4096)
+	request := []byte(ask("GET", "lookup", ""))
+	connect := func() {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		all = append(all, conn)
+		conn.Write(request)
+		conn.Read(in)
+	}
+	for range 20 {
+		connect()
+	}
+	before := use()
+	for range conns {
+		connect()
+	}
+	b.ReportMetric(float64(use()-before)/conns, "B/conn")
+	for _, conn := range all {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/clients.go
@@ -0,0 +1,413 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"linnetbend/internal/connlimit"
+)
+
+const (
+	connMemory   = 20 << 10              // bytes that an idle connection of a client takes
+	connShare    = 4                     // a part of the memory, for them
+	leastPause   = 5 * time.Millisecond  // of accepting, while descriptors have run out
+	mostPause    = time.Second           // it doubles to this
+	crowdTellGap = time.Second           // between lines about a crowd, or about descriptors
+	refusalWait  = 20 * time.Millisecond // for the word to one that is turned away
+)
+
+// A connection that is turned away is told so, as far as it listens: nothing of
+// it has been read.
+const turnedAwayText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// closeCauses are why the gateway's side closed a connection, or that it did not.
+const (
+	closedByPeer   = iota // or after an answer, or a time-out of the server's
+	closedIdle            // given up between requests, for another
+	closedNew             // given up before its first byte, for another
+	closedFresh           // at the stop, before its first byte
+	closedTurnAway        // there was no place for it
+	closeCauseCount
+)
+
+var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away"}
+
+// clients owns the connections of clients, from the listener to their end. What
+// is given up for what is decided by its table.
+type clients struct {
+	net.Listener
+
+	mu     sync.Mutex
+	room   sync.Cond // on mu: a place may have come free
+	began  time.Time
+	table  *connlimit.Table
+	conns  map[*connlimit.Conn]*clientConn
+	closed bool
+	tells  lineLimit
+
+	accepted atomic.Int64
+	ended    [closeCauseCount]atomic.Int64
+	unset    atomic.Int64 // connections on which no limit on silence could be set
+	waited   atomic.Int64 // milliseconds that the last connection stood in the queue, where the system tells
+	starved  atomic.Int64 // times that no descriptor was to be had
+}
+
+func newClients(l net.Listener, most int) *clients {
+	c := &clients{Listener: l, began: time.Now(), table: connlimit.NewTable(connlimit.Limits{Total: most}),
+		conns: map[*connlimit.Conn]*clientConn{}, tells: lineLimit{most: 1}}
+	c.room.L = &c.mu
+	return c
+}
+
+func (l *clients) now() time.Duration { return time.Since(l.began) }
+
+// limit changes how many connections there may be. Those that may go for it, go.
+func (l *clients) limit(most int) {
+	l.mu.Lock()
+	var gone []*clientConn
+	for _, c := range l.table.Limit(connlimit.Limits{Total: most}) {
+		gone = append(gone, l.giveUp(c))
+	}
+	l.room.Broadcast()
+	l.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+// giveUp marks a connection that its table has given up. From here on no byte of
+// it reaches the server.
+func (l *clients) giveUp(c *connlimit.Conn) *clientConn {
+	conn := l.conns[c]
+	delete(l.conns, c)
+	conn.givenUp = true
+	if conn.cause = closedIdle; c.State() == connlimit.New {
+		conn.cause = closedNew
+	}
+	return conn
+}
+
+// Accept waits for room, then for a connection. While all places are taken by
+// requests, connections wait in the queue, where another process may take them.
+// One whose source has more than its share is told at once, as the queue behind it
+// would wait for it.
+func (l *clients) Accept() (net.Conn, error) {
+	pause := leastPause
+	for {
+		if !l.awaitRoom() {
+			return nil, net.ErrClosed
+		}
+		c, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+			l.starved.Add(1)
+			if l.tells.allow() {
+				slog.Error("no descriptor for a client", "error", err)
+			}
+			l.sleep(pause)
+			pause = min(2*pause, mostPause)
+			continue
+		case err != nil:
+			return nil, err
+		}
+		pause = leastPause
+		l.accepted.Add(1)
+		if conn := l.take(c); conn != nil {
+			// Who has a connection goes before who wants one.
+			runtime.Gosched()
+			return conn, nil
+		}
+	}
+}
+
+// sleep waits, or until the listener is closed.
+func (l *clients) sleep(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	over := false
+	defer time.AfterFunc(d, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		over = true
+		l.room.Broadcast()
+	}).Stop()
+	for !over && !l.closed {
+		l.room.Wait()
+	}
+}
+
+// awaitRoom returns false once the listener is closed.
+func (l *clients) awaitRoom() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed {
+		ok, look := l.table.Room(l.now())
+		if ok {
+			return true
+		}
+		l.tellCrowd()
+		l.wait(look)
+	}
+	return false
+}
+
+// wait waits until a place may have come free, or for so long, if that is not 0.
+func (l *clients) wait(most time.Duration) {
+	if most > 0 {
+		defer time.AfterFunc(most, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.room.Broadcast()
+		}).Stop()
+	}
+	l.room.Wait()
+}
+
+func (l *clients) tellCrowd() {
+	if n := l.table.Counts(); l.tells.allow() {
+		slog.Warn("many connections of clients", "open", n.Open, "new", n.In[connlimit.New], "head", n.In[connlimit.Head],
+			"busy", n.In[connlimit.Busy], "idle", n.In[connlimit.Idle], "sources", n.Sources, "over_share", n.Over)
+	}
+}
+
+// take finds a place for a connection, or turns it away and returns nil.
+func (l *clients) take(c net.Conn) *clientConn {
+	address := netip.Addr{}
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		address = tcp.AddrPort().Addr()
+	}
+	l.limitSilence(c)
+	conn := &clientConn{Conn: c, owner: l}
+	conn.resting.Store(true)
+	l.mu.Lock()
+	var victim *clientConn
+	for {
+		place, over, out := l.table.Open(l.now(), address)
+		if out != nil {
+			victim = l.giveUp(out)
+		}
+		if place != nil {
+			conn.place = place
+			l.conns[place] = conn
+			break
+		}
+		if over || l.closed {
+			conn.cause = closedTurnAway
+			l.mu.Unlock()
+			conn.turnAway()
+			return nil
+		}
+		// What had room for it is in a request by now.
+		l.tellCrowd()
+		l.wait(connlimit.Grace)
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		victim.Close()
+	}
+	return conn
+}
+
+// limitSilence makes the system end a connection whose peer has vanished, without a
+// byte that a client could see, and reads how long it has waited.
+func (l *clients) limitSilence(c net.Conn) {
+	if err := limitSilence(c); err != nil {
+		l.unset.Add(1)
+	}
+	if waited, ok := sinceLastWord(c); ok {
+		l.waited.Store(waited.Milliseconds())
+	}
+}
+
+// Close ends accepting.
+func (l *clients) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.room.Broadcast()
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// closeFresh closes the connections that no byte has come on. The server counts
+// them as busy for seconds, and would hold up the gateway's end for them.
+func (l *clients) closeFresh() {
+	l.mu.Lock()
+	var fresh []*clientConn
+	for place, c := range l.conns {
+		if place.State() == connlimit.New {
+			c.cause = closedFresh
+			fresh = append(fresh, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range fresh {
+		c.Close()
+	}
+}
+
+// connState follows what the server does with its connections.
+func (l *clients) connState(c net.Conn, s http.ConnState) {
+	conn, ok := c.(*clientConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		conn.set(connlimit.Busy)
+	case http.StateIdle:
+		if conn.between() {
+			conn.set(connlimit.Idle)
+		} else {
+			conn.set(connlimit.Head) // the next request has come behind the last
+		}
+	}
+}
+
+func (l *clients) counts() connlimit.Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Counts()
+}
+
+// write puts the figures out, a line each.
+func (l *clients) write(w io.Writer) {
+	n := l.counts()
+	for state, name := range map[connlimit.State]string{connlimit.New: "new", connlimit.Head: "head", connlimit.Busy: "busy",
+		connlimit.Idle: "idle"} {
+		fmt.Fprintf(w, "app.clients.%s:%d|g\n", name, n.In[state])
+	}
+	fmt.Fprintf(w, "app.clients.sources:%d|g\napp.clients.sources_over:%d|g\napp.clients.accepted:%d|c\n", n.Sources, n.Over, l.accepted.Load())
+	for cause, name := range closeCauseNames {
+		fmt.Fprintf(w, "app.clients.closed.%s:%d|c\n", name, l.ended[cause].Load())
+	}
+	fmt.Fprintf(w, "app.clients.wait_ms:%d|g\napp.clients.no_descriptor:%d|c\napp.clients.silence_unlimited:%d|c\n",
+		l.waited.Load(), l.starved.Load(), l.unset.Load())
+}
+
+// clientConn is one connection of a client.
+type clientConn struct {
+	net.Conn
+	owner *clients
+	place *connlimit.Conn
+
+	// Of the owner's mu:
+	givenUp bool
+	cause   int
+
+	resting atomic.Bool // New or Idle: the next byte begins a request
+	over    sync.Once
+
+	mu    sync.Mutex
+	read  framing
+	heads int // of requests that the server has taken
+}
+
+// Read reads along, for heads that could be read in two ways, and tells that a
+// request has begun. One that begins on a connection that was given up is not
+// read: its client sends it again.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.resting.Load() && !c.begin() {
+		return 0, io.EOF
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read.read(p[:n])
+	return n, err
+}
+
+func (c *clientConn) begin() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.givenUp {
+		return false
+	}
+	c.resting.Store(false)
+	c.owner.table.Set(c.owner.now(), c.place, connlimit.Head)
+	return true
+}
+
+func (c *clientConn) set(s connlimit.State) {
+	if s == connlimit.Busy {
+		c.mu.Lock()
+		c.heads++
+		c.mu.Unlock()
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.givenUp {
+		return
+	}
+	c.resting.Store(s == connlimit.Idle)
+	c.owner.table.Set(c.owner.now(), c.place, s)
+	if s == connlimit.Idle {
+		c.owner.room.Broadcast()
+	}
+}
+
+// between tells whether no byte of a next request has come.
+func (c *clientConn) between() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.heads == c.heads && c.read.between()
+}
+
+func (c *clientConn) doubt() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.doubt
+}
+
+// bodies is how many bytes of bodies have come.
+func (c *clientConn) bodies() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.data
+}
+
+// before is how many had come before the last head.
+func (c *clientConn) before() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read.passed
+}
+
+// reset makes the connection's end one that the peer can tell from a proper one.
+func (c *clientConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+}
+
+func (c *clientConn) turnAway() {
+	c.SetWriteDeadline(time.Now().Add(refusalWait))
+	io.WriteString(c.Conn, turnedAwayText)
+	c.Close()
+}
+
+// Close ends the connection and frees its place, once.
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	c.over.Do(func() {
+		l := c.owner
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if c.place != nil {
+			l.table.Close(c.place)
+			delete(l.conns, c.place)
+		}
+		l.ended[c.cause].Add(1)
+		l.room.Broadcast()
+	})
+	return err
+}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -84,6 +84,7 @@
 	known, skipped    atomic.Int64 // backends
 	up, down          transfers    // bodies to backends and to clients
 	bodies            budget       // of all bodies
+	clients           *clients     // their connections; nil before they are served
 
 	mu      sync.Mutex // of the list, not of the counts
 	classes []*classCounts
@@ -140,6 +141,7 @@
 			line("transfers."+name+".ended."+causeNames[c], &t.ended[c], "c")
 		}
 	}
+	f.clients.write(w)
 	used, most := f.bodies.usage()
 	fmt.Fprintf(w, "app.transfers.memory:%d|g\napp.transfers.memory_most:%d|g\n", used, most)
 }
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -15,6 +15,7 @@
 
 	data   uint64 // bytes of bodies that have come, without their framing
 	passed uint64 // of these, those of the bodies before the last head
+	heads  int    // that have come whole
 
 	part    framePart
 	line    [40]byte // the start of the line that is being read
@@ -42,6 +43,9 @@
 // begin looks out for the answer to the next request.
 func (f *framing) begin() { *f = framing{answers: true} }
 
+// between tells whether nothing has come behind the last message.
+func (f *framing) between() bool { return f.part == frameFirst && f.n == 0 }
+
 // read takes in what has come on the connection.
 func (f *framing) read(p []byte) {
 	for len(p) > 0 && f.part != frameRest {
@@ -111,6 +115,7 @@
 			break
 		}
 		f.passed = f.data
+		f.heads++
 		f.doubt = f.doubt || f.lengths > 1 || f.codings > 0 && (f.lengths > 0 || f.old)
 		switch {
 		case f.answers && f.interim:
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,9 +23,8 @@
 	mostPatience  = time.Hour
 	headerTimeout = 2600 * time.Millisecond // a client may take 2 s; a peer that sends no request is owed an end within 3 s
 	readTimeout   = 2800 * time.Millisecond // and one that stops short of a whole request as well
-	writeTimeout  = 10 * time.Second
+	writeTimeout  = 5 * time.Second         // for a short answer; a peer that takes none is owed an end within 6 s
 	idleTimeout   = 2 * time.Minute
-	crowdTellGap  = time.Second
 	readyPath     = "/health/ready"
 
 	idHeader     = "X-Correlation-Id"
@@ -108,28 +105,22 @@
 
 // frontend serves clients.
 type frontend struct {
-	loop      *Loop
-	service   atomic.Pointer[service]
-	ready     atomic.Bool
-	leaving   atomic.Bool // connections are closed after their answer
-	mostConns int         // above it, connections are closed after their answer
-	figures   *figures
-
-	mu     sync.Mutex
-	conns  int                   // open
-	fresh  map[net.Conn]struct{} // of these, those on which nothing has come yet
-	busy   int                   // of these, those with a request
-	toldAt time.Time             // of the last line about a crowd
+	loop    *Loop
+	service atomic.Pointer[service]
+	ready   atomic.Bool
+	leaving atomic.Bool // connections are closed after their answer
+	clients *clients
+	figures *figures
 }
 
 // server serves clients. The time for a body and for an answer depends on their
 // length, and is set where they are read and written.
 func (f *frontend) server() *http.Server {
 	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnState: f.connState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		ConnState: f.clients.connState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, firstKey{}, &firstRequest{accepted: time.Now(), conn: c})
 		}}
-	s.RegisterOnShutdown(f.closeFresh)
+	s.RegisterOnShutdown(f.clients.closeFresh)
 	return s
 }
 
@@ -161,56 +152,8 @@
 	}
 }
 
-func (f *frontend) connState(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.fresh, c)
-	switch s {
-	case http.StateNew:
-		f.conns++
-		f.fresh[c] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		f.conns--
-	}
-}
-
-// closeFresh closes the connections that no request has come on. The server
-// counts them as busy for seconds, and would hold up the gateway's end for them.
-func (f *frontend) closeFresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.fresh {
-		c.Close()
-	}
-}
-
-// keep sets how many connections may be kept open after their answer.
-func (f *frontend) keep(most int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.mostConns = most
-}
-
-// crowded tells whether clients should make do with fewer connections.
-func (f *frontend) crowded() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.conns <= f.mostConns || f.leaving.Load() {
-		return false
-	}
-	if now := time.Now(); now.Sub(f.toldAt) >= crowdTellGap {
-		f.toldAt = now
-		slog.Warn("many connections of clients", "open", f.conns, "silent", len(f.fresh), "busy", f.busy)
-	}
-	return true
-}
-
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.mu.Lock()
-	f.busy++
-	f.mu.Unlock()
-	defer func() { f.mu.Lock(); f.busy--; f.mu.Unlock() }()
-	if f.leaving.Load() || f.crowded() {
+	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath {
@@ -294,9 +237,9 @@
 }
 
 // connOf returns the connection of a request, if it is one of the gateway's own.
-func connOf(r *http.Request) *limitedConn {
+func connOf(r *http.Request) *clientConn {
 	if first, ok := r.Context().Value(firstKey{}).(*firstRequest); ok {
-		c, _ := first.conn.(*limitedConn)
+		c, _ := first.conn.(*clientConn)
 		return c
 	}
 	return nil
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -41,13 +41,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &frontend{fresh: map[net.Conn]struct{}{}, figures: &figures{bodies: budget{total: bodyMemory(16)}}, mostConns: 100,
+	p := newPipes()
+	f := &frontend{figures: &figures{bodies: budget{total: bodyMemory(16)}}, clients: newClients(p, 100),
 		loop: &Loop{clock: newClock(), inbox: make(chan any, 1), stopped: make(chan struct{})}}
 	f.service.Store(f.figures.service(deploy, 0))
-	p := newPipes()
 	server := f.server()
 	ended := make(chan struct{})
-	go func() { defer close(ended); server.Serve(p) }()
+	go func() { defer close(ended); server.Serve(f.clients) }()
 	t.Cleanup(func() { server.Close(); <-ended })
 	return f, p
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 const (
 	reserved    = 64                      // descriptors for the counter, discovery, control and the runtime
 	clientShare = 0.55                    // of the other descriptors, for clients; backends get the rest
-	softShare   = 0.8                     // of the clients' part; above it connections close after an answer
 	knownAfter  = 3 * time.Second         // without discovery, the list known from before has to do
 	stayFor     = 600 * time.Millisecond  // new connections still come so long after a stop was asked for
 	stayIdle    = 2200 * time.Millisecond // and so long a connection may stand idle then, where another process serves
@@ -45,13 +44,14 @@
 }
 
 func serve(ctx context.Context, c *Config, reloads <-chan Reload, listener, operators net.Listener, figures *figures) error {
-	clients, backends := split(c.Sockets - reserved)
+	_, backends := split(c.Sockets - reserved)
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, figures)
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{fresh: map[net.Conn]struct{}{}, figures: figures, mostConns: int(softShare * float64(clients))}
+	front := &frontend{figures: figures, clients: newClients(listener, 1)}
+	figures.clients = front.clients
 	front.service.Store(figures.service(c.Deployment, c.mostBody()))
 	front.loop = newLoop(c, front.service.Load(), figures, pools, calls, func() { front.ready.Store(true) })
 
@@ -60,19 +60,13 @@
 	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
-	limited := newLimitListener(listener, clients)
-	pair := &handover{loop: front.loop, oldest: make(chan struct{}), paired: func(paired bool) {
-		clients, backends := split(c.Sockets - reserved)
-		memory := bodyMemory(c.MemoryMB)
-		if paired { // the descriptors and the memory are those of both
-			clients, backends = split(c.Sockets/2 - reserved/2)
-			memory /= 2
-		}
-		figures.bodies.limit(memory)
-		limited.limit(clients)
-		front.keep(int(softShare * float64(clients)))
+	limits := &limits{config: c, apply: func(clients, backends, memory int) {
+		front.clients.limit(clients)
 		pools.keep(backends)
+		figures.bodies.limit(memory)
 	}}
+	limits.pair(false)
+	pair := &handover{loop: front.loop, oldest: make(chan struct{}), paired: limits.pair}
 	front.loop.list(c.Known, rules.CachedList)
 	if c.HandoverDir != "" {
 		before, err := pair.join(ctx, c.HandoverDir)
@@ -125,6 +119,7 @@
 					calls.move(next.Counter, seconds(next.CounterTimeout))
 				}
 				follow.move(inner, next)
+				limits.take(next)
 				inForce = next
 			}
 		}
@@ -138,7 +133,7 @@
 
 	server := front.server()
 	failed := make(chan error, 2) // one for each server
-	wg.Go(func() { failed <- server.Serve(limited) })
+	wg.Go(func() { failed <- server.Serve(front.clients) })
 	pair.serving()
 	if operators != nil {
 		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand}).server()
@@ -150,7 +145,40 @@
 		return fmt.Errorf("clients: %w", err)
 	case <-ctx.Done():
 	}
-	return shutdown(front, server, limited, pair)
+	return shutdown(front, server, pair)
+}
+
+// limits shares out what the configuration allows, all of it to a process that is
+// alone, and half of it to one of two.
+type limits struct {
+	apply func(clients, backends, memory int)
+
+	mu     sync.Mutex
+	config *Config
+	paired bool
+}
+
+func (l *limits) pair(paired bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paired = paired
+	l.share()
+}
+
+func (l *limits) take(c *Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.config = c
+	l.share()
+}
+
+func (l *limits) share() {
+	sockets, memory := l.config.Sockets-reserved, l.config.MemoryMB
+	if l.paired {
+		sockets, memory = l.config.Sockets/2-reserved/2, memory/2
+	}
+	clients, backends := split(sockets)
+	l.apply(min(clients, memory<<20/connShare/connMemory), backends, bodyMemory(memory))
 }
 
 // split divides descriptors between clients and backends.
@@ -167,13 +195,13 @@
 // later. With one, new connections are its own, and those that stand here go
 // after their next answer, or once nothing has come on them for longer than
 // clients keep still.
-func shutdown(front *frontend, server *http.Server, listener net.Listener, pair *handover) error {
+func shutdown(front *frontend, server *http.Server, pair *handover) error {
 	most := max(longest(front), leastHeld)
 	end := time.Now().Add(most + stopMargin)
 	front.loop.post(told{rules.Leave{Until: front.loop.clock.now() + (most + stopMargin - answerTime).Seconds()}})
 	front.leaving.Store(true)
 	if pair.leave() {
-		listener.Close()
+		front.clients.Close()
 		time.Sleep(stayIdle)
 	} else {
 		server.SetKeepAlivesEnabled(false)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,11 +75,12 @@
 		for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 			used, _ := r.figures.bodies.usage()
 			up, down := r.figures.up.open.Load(), r.figures.down.open.Load()
-			if used == 0 && up == 0 && down == 0 {
+			open := r.figures.clients.counts().Open
+			if used == 0 && up == 0 && down == 0 && open == 0 {
 				break
 			}
 			if time.Now().After(end) {
-				t.Errorf("%d bytes of the budget are left, %d transfers up, %d down", used, up, down)
+				t.Errorf("%d bytes of the budget are left, %d transfers up, %d down, %d connections", used, up, down, open)
 				break
 			}
 		}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -19,6 +20,7 @@
 	mu    sync.Mutex
 	since time.Time
 	lines int
+	most  int // a second; 0: mostTraces
 }
 
 func (l *lineLimit) allow() bool {
@@ -28,7 +30,7 @@
 		l.since, l.lines = now, 0
 	}
 	l.lines++
-	return l.lines <= mostTraces
+	return l.lines <= cmp.Or(l.most, mostTraces)
 }
 
 // worthTelling is the lag of a timer, in seconds, from which on the process had
