Give a dial without a descriptor one more try; count comparisons in each table

A dial that met EMFILE failed at once, silently. The heap's count of comparisons was one for the whole program, which several gateways in one process would have raced on; it belongs to its table. A connection that is turned away costs no socket options any more. A list service writes a line about leases that have run out, once a second at most.

--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -173,10 +173,10 @@
 // victim returns the connection that makes room for one of a source that has so
 // many: that of the source that has most, which may be its own.
 func (t *Table) victim(now time.Duration, s *source, has int) *Conn {
-	if len(t.giving) == 0 {
+	if t.giving.Len() == 0 {
 		return nil
 	}
-	v := t.giving[0]
+	v := t.giving.sources[0]
 	if v.open <= has && v != s {
 		// It has no more than the one that wants a place, which makes do with its own.
 		if v = s; s == nil || s.at < 0 {
@@ -208,10 +208,10 @@
 	if t.open < t.limits.Total {
 		return true, 0
 	}
-	if len(t.giving) == 0 {
+	if t.giving.Len() == 0 {
 		return false, 0
 	}
-	if _, from := t.giving[0].first(); from > now {
+	if _, from := t.giving.sources[0].first(); from > now {
 		return false, from - now
 	}
 	return true, 0
@@ -320,33 +320,37 @@
 	}
 }
 
-// compared counts comparisons, for measurements.
-var compared int
-
 // givers has the source first that has most; of equals, that with the connection
 // that stands longest.
-type givers []*source
+type givers struct {
+	sources  []*source
+	compared int // so often, for measurements
+}
 
-func (g givers) Len() int { return len(g) }
-func (g givers) Less(i, j int) bool {
-	compared++
-	if g[i].open != g[j].open {
-		return g[i].open > g[j].open
+func (g *givers) Len() int { return len(g.sources) }
+func (g *givers) Less(i, j int) bool {
+	g.compared++
+	a, b := g.sources[i], g.sources[j]
+	if a.open != b.open {
+		return a.open > b.open
 	}
-	_, from := g[i].first()
-	_, other := g[j].first()
+	_, from := a.first()
+	_, other := b.first()
 	return from < other
 }
-func (g givers) Swap(i, j int) { g[i], g[j] = g[j], g[i]; g[i].at, g[j].at = i, j }
+func (g *givers) Swap(i, j int) {
+	g.sources[i], g.sources[j] = g.sources[j], g.sources[i]
+	g.sources[i].at, g.sources[j].at = i, j
+}
 func (g *givers) Push(s any) {
-	s.(*source).at = len(*g)
-	*g = append(*g, s.(*source))
+	s.(*source).at = len(g.sources)
+	g.sources = append(g.sources, s.(*source))
 }
 func (g *givers) Pop() any {
-	old := *g
-	s := old[len(old)-1]
-	old[len(old)-1] = nil
+	last := len(g.sources) - 1
+	s := g.sources[last]
+	g.sources[last] = nil
+	g.sources = g.sources[:last]
 	s.at = -1
-	*g = old[:len(old)-1]
 	return s
 }
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -201,6 +203,8 @@
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
 	figures        *figures
+	tells          lineLimit // of lines about descriptors
+	dial           func(context.Context, *target, time.Duration) (*backendConn, error)
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
@@ -209,7 +213,7 @@
 
 func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, f *figures) *pools {
 	return &pools{connectTimeout: connectTimeout, idleLimit: idleLimit(keepAlive),
-		mostOpen: mostOpen, figures: f, targets: map[rules.BackendID]*target{}}
+		mostOpen: mostOpen, figures: f, tells: lineLimit{most: 1}, dial: dial, targets: map[rules.BackendID]*target{}}
 }
 
 // keep sets how many connections there may be.
@@ -378,7 +382,17 @@
 	p.open++
 	within := p.connectTimeout
 	p.mu.Unlock()
-	c, err := dial(ctx, t, within)
+	c, err := p.dial(ctx, t, within)
+	if noDescriptor(err) {
+		// What rests at other backends makes room, and the attempt has one more try.
+		p.giveUpIdle()
+		if p.tells.allow() {
+			slog.Error("no descriptor for a backend", "error", err)
+		}
+		if waited(ctx, leastPause) {
+			c, err = p.dial(ctx, t, within)
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && t.retired {
@@ -393,6 +407,42 @@
 	return c, nil
 }
 
+// giveUpIdle closes the connection that has been idle longest.
+func (p *pools) giveUpIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *target
+	for _, t := range p.targets {
+		if len(t.idle) > 0 && (oldest == nil || t.idle[0].idle.Before(oldest.idle[0].idle)) {
+			oldest = t
+		}
+	}
+	if oldest != nil {
+		c := oldest.idle[0]
+		oldest.idle = slices.Delete(oldest.idle, 0, 1)
+		c.Close()
+		p.forget(c)
+	}
+}
+
+// noDescriptor tells whether the system has run out of what a connection needs.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM)
+}
+
+// waited waits, and returns false if ctx ends first.
+func waited(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func dial(ctx context.Context, t *target, within time.Duration) (*backendConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -350,3 +351,42 @@
 		t.Errorf("%d open after the idle limit", p.open)
 	}
 }
+
+// A dial for which there is no descriptor has one more try, once the connection
+// that was idle longest has gone.
+func TestNoDescriptorForBackend(t *testing.T) {
+	for name, failures := range map[string]int{"once": 1, "on": 10} {
+		rested, backend := newPeer(t), newPeer(t)
+		p := poolFor(t, backend.address())
+		p.update(2, rested.address(), 0)
+		t.Cleanup(func() { p.remove(2) })
+		a := newAttempt(patience)
+		a.backend = 2
+		done := start(p, a)
+		conn, r := rested.accept(t)
+		readRequest(t, r)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		wait(t, done, "result")
+		dials, real := 0, p.dial
+		p.dial = func(ctx context.Context, to *target, within time.Duration) (*backendConn, error) {
+			if dials++; dials <= failures {
+				return nil, &net.OpError{Op: "dial", Err: syscall.EMFILE}
+			}
+			return real(ctx, to, within)
+		}
+		done = start(p, newAttempt(patience))
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Errorf("%s: the connection that rested: %v", name, err)
+		}
+		want := rules.ConnectFailed
+		if failures == 1 {
+			want = rules.Served
+			conn, r := backend.accept(t)
+			readRequest(t, r)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		if got := wait(t, done, "result"); got.outcome != want || dials != 2 {
+			t.Errorf("%s: outcome %d after %d dials", name, got.outcome, dials)
+		}
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,7 +10,6 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"linnetbend/internal/connlimit"
@@ -109,7 +107,7 @@
 		}
 		c, err := l.Listener.Accept()
 		switch {
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+		case noDescriptor(err):
 			l.starved.Add(1)
 			if l.tells.allow() {
 				slog.Error("no descriptor for a client", "error", err)
@@ -186,7 +184,6 @@
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	l.limitSilence(c)
 	conn := &clientConn{Conn: c, owner: l}
 	conn.resting.Store(true)
 	l.mu.Lock()
@@ -215,6 +212,7 @@
 	if victim != nil {
 		victim.Close()
 	}
+	l.limitSilence(c) // not before: one that is turned away has to be cheap
 	return conn
 }
 
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -46,14 +46,16 @@
 	age    func() int64           // milliseconds since the writer was heard; nil for a writer
 	began  time.Time
 
-	mu      sync.Mutex // of the store and of what follows
-	store   *Store
-	news    chan struct{} // closed when there is something new
-	wokenAt time.Time
-	waking  bool
-	lists   float64 // that may be asked for now
-	listsAt time.Time
-	random  *rand.Rand
+	mu         sync.Mutex // of the store and of what follows
+	store      *Store
+	news       chan struct{} // closed when there is something new
+	wokenAt    time.Time
+	waking     bool
+	toldLapsed int64
+	toldAt     time.Time
+	lists      float64 // that may be asked for now
+	listsAt    time.Time
+	random     *rand.Rand
 
 	leaving chan struct{} // closed at the stop
 	figures struct {
@@ -89,6 +91,23 @@
 		if _, err := s.change(func(now time.Duration) (int64, error) { return 0, s.store.Tick(now) }); err != nil {
 			slog.Error("lapses", "error", err)
 		}
+		s.tellLapses()
+	}
+}
+
+// tellLapses writes a line about leases that have run out, once a second at most.
+func (s *Server) tellLapses() {
+	s.mu.Lock()
+	st := s.store.Stats()
+	now := time.Now()
+	tell := st.Lapsed != s.toldLapsed && now.Sub(s.toldAt) >= time.Second
+	lapsed := st.Lapsed - s.toldLapsed
+	if tell {
+		s.toldLapsed, s.toldAt = st.Lapsed, now
+	}
+	s.mu.Unlock()
+	if tell {
+		slog.Warn("leases have run out", "gone", lapsed, "overdue", st.Overdue, "instances", st.Instances)
 	}
 }
 
