Upgrades: meet the other process's word and end in either order

Two orders were not thought of. The new process says "serving" on the link and yes to the platform; if the order to end comes first, the old one took it for one that does not serve, and cut its clients' idle connections. And a word of an operator that could not be written, as the other had just ended, was told as "did not answer" if its reader had not met the end yet.

Now the old process waits up to 200 ms for the word before it leaves, and a word that meets a broken link waits for its reader. The new test sends the word after the order to end; with no wait it fails.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -22,6 +22,7 @@
 	joinTimeout  = 2 * time.Second // for the books; the platform waits 6 s for a new process
 	joinRetry    = 20 * time.Millisecond
 	upTimeout    = 6 * time.Second        // for a new process to serve; the platform waits no longer
+	serveWait    = 200 * time.Millisecond // for its word that it serves, which may be on its way
 	passTimeout  = 700 * time.Millisecond // for the other's word on a call, of which the caller waits 1 s
 )
 
@@ -59,10 +60,14 @@
 	out   *json.Encoder
 	next  int
 	calls map[int]chan bool // words that are out
+
+	serves chan struct{} // closed once the other has said that it serves
+	over   chan struct{} // closed once nothing is heard on it any more
 }
 
 func newLink(conn net.Conn) *link {
-	return &link{conn: conn, in: json.NewDecoder(conn), out: json.NewEncoder(conn), calls: map[int]chan bool{}}
+	return &link{conn: conn, in: json.NewDecoder(conn), out: json.NewEncoder(conn), calls: map[int]chan bool{},
+		serves: make(chan struct{}), over: make(chan struct{})}
 }
 
 func (l *link) send(n note) error {
@@ -190,6 +195,7 @@
 
 // hear takes what the other process says until one of the two ends.
 func (h *handover) hear(l *link) {
+	defer close(l.over)
 	for {
 		var n note
 		if err := l.in.Decode(&n); err != nil {
@@ -203,7 +209,10 @@
 			l.answered(*n.Said)
 		case n.Serving:
 			h.mu.Lock()
-			h.up = true
+			if !h.up {
+				h.up = true
+				close(l.serves)
+			}
 			h.mu.Unlock()
 		case n.Leaving:
 			h.loop.post(told{rules.Leaving})
@@ -341,6 +350,10 @@
 	}
 	theirs, err := other.pass(id, offline)
 	if err != nil {
+		if !errors.Is(err, errNoWord) && !errors.Is(err, os.ErrDeadlineExceeded) {
+			other.conn.Close()
+			<-other.over // it has ended, which this word has met before its reader
+		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.other != other {
@@ -353,9 +366,24 @@
 
 // leave tells the other process that this one takes no more clients. It returns
 // whether that one takes them.
+//
+// Danger: the platform may have heard that the other serves before this one has
+// read it. Taken for one that does not serve, it would find its clients cut off.
 func (h *handover) leave() bool {
 	h.mu.Lock()
-	other, up := h.other, h.heir && h.up
+	other, heir := h.other, h.heir
+	h.mu.Unlock()
+	if other != nil && heir {
+		moment := time.NewTimer(serveWait)
+		defer moment.Stop()
+		select {
+		case <-other.serves:
+		case <-other.over:
+		case <-moment.C:
+		}
+	}
+	h.mu.Lock()
+	up := h.other == other && h.heir && h.up
 	h.mu.Unlock()
 	return other != nil && up && other.send(note{Leaving: true}) == nil
 }
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -123,14 +123,7 @@
 		}
 	}
 	old.stop()
-	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		if status, _ := old.operate(t, "GET", "/control/ready"); status == http.StatusServiceUnavailable {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the old process is still ready")
-		}
-	}
+	old.untilLeaving(t)
 	for range 8 { // none meets a closed door
 		_, answers := next.client(t, ask("POST", "booking", "x"))
 		to, br := backend.accept(t)
@@ -211,3 +204,56 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// The word that a new process serves may come after the order to end. Connections
+// that stand are kept for their next request all the same.
+func TestNewProcessServesAtTheLastMoment(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	l, dir := newPlatform(t)
+	old := newRigOn(t, l, dir, backend)
+	kept, answers := old.client(t, ask("GET", "lookup", "", idHeader, ""))
+	wait(t, answers, "answer")
+	conn, err := net.Dial("unix", filepath.Join(dir, handoverName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	next := newLink(conn)
+	var n note
+	if err := next.send(note{Join: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.in.Decode(&n); err != nil || n.Books == nil {
+		t.Fatalf("books %+v, %v", n.Books, err)
+	}
+	old.stop()
+	old.untilLeaving(t)
+	if err := next.send(note{Serving: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.in.Decode(&n); err != nil || !n.Leaving {
+		t.Fatalf("%+v, %v", n, err)
+	}
+	if _, err := kept.Write([]byte(ask("GET", "lookup", ""))); err != nil {
+		t.Fatal(err)
+	}
+	serveOne(t, backend, "kept")
+	if resp, err := http.ReadResponse(bufio.NewReader(kept), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+// untilLeaving waits until the gateway knows that it is to end.
+func (r *rig) untilLeaving(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if status, _ := r.operate(t, "GET", "/control/ready"); status == http.StatusServiceUnavailable {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("it is still ready")
+		}
+	}
+}
