List service: count watchers that do not take a short answer

TestDeadWatcher once waited 20 s for the count: an answer below net/http's buffer of 4 KiB fails only when it is flushed, after it had been counted as taken. The answer is flushed in the handler now, and the test starts with a list that is longer than the buffer.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -28,6 +28,7 @@
 	mostInterim  = 8                      // 1xx answers before the real one
 	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
 	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
+	lastMoment   = 20 * time.Millisecond  // for a sender to notice that all has gone
 	notRunHeader = "X-Unprocessed"
 	leftHeader   = "X-Time-Left-Ms"
 	loadHeader   = "X-Backend-Load"
@@ -573,17 +574,15 @@
 		}
 	}()
 	res, reuse := p.answer(a, c)
-	var err error
-	select {
-	case err = <-sent:
-	default:
+	var cut error
+	over, err := a.sentBy(sent)
+	if !over {
 		c.Close() // no more goes out than has
 		reuse = false
 		if err = errCutShort; a.last.Load() {
 			err = <-sent // the end was about to be written
 		}
 	}
-	var cut error
 	res.spent, cut = u.leave()
 	if err == nil || res.outcome != rules.Broken && res.outcome != rules.TimedOut {
 		return res, reuse && err == nil // an answer, or no word after the whole
@@ -596,6 +595,27 @@
 	return res, false
 }
 
+// sentBy tells whether the sending is over, and how it ended. An answer may be here
+// a moment before the sender has noticed that all of the body has gone.
+func (a *attempt) sentBy(sent <-chan error) (over bool, err error) {
+	if !a.last.Load() {
+		select {
+		case err = <-sent:
+			return true, err
+		default:
+			return false, nil
+		}
+	}
+	moment := time.NewTimer(lastMoment)
+	defer moment.Stop()
+	select {
+	case err = <-sent:
+		return true, err
+	case <-moment.C:
+		return false, nil
+	}
+}
+
 // send writes the body of an upload as it comes, and tells why it ended.
 func (a *attempt) send(c *backendConn) (cause, error) {
 	u, to := a.x.upload, pace{pause: stall, grace: stall, rate: leastRate}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -395,9 +396,11 @@
 	if s.left() {
 		w.Header().Set("Connection", "close")
 	}
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(time.Now().Add(writeWait))
 	s.figures.answers.Add(1)
-	if n, err := w.Write(body); err != nil || n < len(body) {
+	_, err := w.Write(body)
+	if err = cmp.Or(err, control.Flush()); err != nil { // a short answer fails only when it is sent
 		s.figures.cut.Add(1)
 		return
 	}
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -310,6 +310,9 @@
 func TestDeadWatcher(t *testing.T) {
 	t.Parallel()
 	s := newWriterService(t, testServes)
+	for n := range int64(40) {
+		s.put(t, fmt.Sprint("s-", n), 1)
+	}
 	conn, err := net.Dial("tcp", s.address)
 	if err != nil {
 		t.Fatal(err)
@@ -323,9 +326,6 @@
 			}
 		}
 	}()
-	for n := range int64(40) {
-		s.put(t, fmt.Sprint("s-", n), 1)
-	}
 	until(t, "it is cut", func() bool { return s.figures.cut.Load() > 0 })
 	s.list(t, "")
 }
