--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -25,7 +25,12 @@
 	f := &Follower{Server: NewWriter(store, serves, began, random), moves: make(chan []string)}
 	f.writer.Store(&writer)
 	f.client = NewClient([]string{writer}, rand.New(rand.NewPCG(random.Uint64(), 1)), f.heard)
-	f.age = func() int64 { return f.client.Age().Milliseconds() }
+	f.age = func() int64 {
+		if age := f.client.Age(); age >= 0 {
+			return age.Milliseconds()
+		}
+		return -1
+	}
 	return f
 }
 
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -404,6 +404,21 @@
 	}
 }
 
+// A follower that has never heard from its writer tells no list, and says so.
+func TestFollowerWithoutWriter(t *testing.T) {
+	t.Parallel()
+	w := newWriterService(t, testServes)
+	w.stop()
+	<-w.ended
+	f, _ := newFollowerService(t, w.address)
+	if code, _, header := call(t, "GET", f.url(""), ""); code != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, advice %q", code, header.Get("Retry-After"))
+	}
+	if _, where, _ := call(t, "GET", "http://"+f.control+"/control/where", ""); !strings.Contains(where, `"ageMs":-1`) {
+		t.Errorf("%s", where)
+	}
+}
+
 // An operator points a follower at a new writer, and its readers go along.
 func TestFollowerMoves(t *testing.T) {
 	t.Parallel()
