One name: module dunlintray, cmd/gateway; flags for the daemons beside their variables

The need: the module, the gateway's command and the product had three names, and the daemons took no flag, so nobody could ask them for help or to check a file.

Without flags all is as before.

--- a/cmd/elderyard/main.go
+++ b/cmd/gateway/main.go
@@ -1,10 +1,12 @@
-// Elderyard is one gateway on real sockets. EDGE_CONFIG names its
-// configuration, EDGE_CONTROL the address where operators call; SIGHUP makes it read that again, SIGTERM answer what it holds
-// and end.
+// Gateway is one gateway on real sockets. EDGE_CONFIG or --config names its
+// configuration, EDGE_CONTROL the address where operators call. SIGHUP makes it
+// read the configuration again, SIGTERM answer what it holds and end.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"log"
 	"log/slog"
@@ -15,7 +17,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"linnetbend/internal/gateway"
+	"dunlintray/internal/command"
+	"dunlintray/internal/gateway"
 )
 
 const (
@@ -26,8 +29,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "elderyard:", err)
+	if err := run(ctx); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "gateway:", err)
 		os.Exit(1)
 	}
 }
@@ -36,14 +39,18 @@
 	hangups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	path := os.Getenv("EDGE_CONFIG")
-	if path == "" {
-		return fmt.Errorf("EDGE_CONFIG is not set")
+	options, err := command.Parse("gateway", "EDGE_CONFIG", os.Args[1:], os.Stderr)
+	if err != nil {
+		return err
 	}
-	c, err := gateway.ReadConfig(path)
+	c, err := gateway.ReadConfig(options.Config)
 	if err != nil {
 		return err
 	}
+	if options.Check {
+		fmt.Println(options.Config, "is good")
+		return nil
+	}
 	if address := os.Getenv("EDGE_CONTROL"); address != "" {
 		c.Control = address // of this process; two may run side by side
 	}
@@ -54,10 +61,11 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
 	log.SetPrefix(c.Name + " ")
+	options.Log(os.Stderr, "gateway", c.Name)
 	slog.Info("starting", "listen", c.Listen, "cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets,
 		"deployment", fmt.Sprintf("%+v", c.Deployment))
 	reloads := make(chan gateway.Reload)
-	go reload(ctx, path, hangups, reloads)
+	go reload(ctx, options.Config, hangups, reloads)
 	return gateway.Run(ctx, &c, reloads)
 }
 
--- a/cmd/elderyard/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -19,14 +19,14 @@
 
 // TestMain lets the test binary stand in for the command.
 func TestMain(m *testing.M) {
-	if os.Getenv("ELDERYARD_AS_COMMAND") != "" {
+	if os.Getenv("GATEWAY_AS_COMMAND") != "" {
 		main()
 		return
 	}
 	os.Exit(m.Run())
 }
 
-func command(t *testing.T, config string) (cmd *exec.Cmd, stderr *bytes.Buffer, rewrite func(config string)) {
+func launch(t *testing.T, config string) (cmd *exec.Cmd, stderr *bytes.Buffer, rewrite func(config string)) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	rewrite = func(config string) {
 		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -35,7 +35,7 @@
 	}
 	rewrite(config)
 	cmd = exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "ELDERYARD_AS_COMMAND=1", "EDGE_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "GATEWAY_AS_COMMAND=1", "EDGE_CONFIG="+path)
 	stderr = &bytes.Buffer{}
 	cmd.Stderr = stderr
 	return cmd, stderr, rewrite
@@ -72,19 +72,19 @@
 }
 
 func TestBadConfiguration(t *testing.T) {
-	cmd, stderr, _ := command(t, `{"settings": {}}`)
+	cmd, stderr, _ := launch(t, `{"settings": {}}`)
 	var exit *exec.ExitError
 	if err := cmd.Run(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 		t.Errorf("ended with %v", err)
 	}
-	if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.HasPrefix(text, "elderyard: configuration ") {
+	if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.HasPrefix(text, "gateway: configuration ") {
 		t.Errorf("said %q", text)
 	}
 }
 
 func TestSigterm(t *testing.T) {
 	discovery, asked := registry(t)
-	cmd, stderr, _ := command(t, config(discovery))
+	cmd, stderr, _ := launch(t, config(discovery))
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -108,7 +108,7 @@
 	}
 	address := probe.Addr().String()
 	probe.Close()
-	cmd, stderr, _ := command(t, strings.Replace(config(discovery), "127.0.0.1:0", address, 1))
+	cmd, stderr, _ := launch(t, strings.Replace(config(discovery), "127.0.0.1:0", address, 1))
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -158,7 +158,7 @@
 func TestSighup(t *testing.T) {
 	old, askedOld := registry(t)
 	next, askedNext := registry(t)
-	cmd, stderr, rewrite := command(t, config(old))
+	cmd, stderr, rewrite := launch(t, config(old))
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -185,7 +185,7 @@
 	}
 	control = l.Addr().String()
 	l.Close()
-	cmd, stderr, _ = command(t, strings.Replace(config(discovery), `"seed"`, `"control": "`+control+`", "seed"`, 1))
+	cmd, stderr, _ = launch(t, strings.Replace(config(discovery), `"seed"`, `"control": "`+control+`", "seed"`, 1))
 	cmd.ExtraFiles = []*os.File{listener}
 	cmd.Env = append(cmd.Env, "EDGE_FD=3", "TMPDIR="+dir)
 	if err := cmd.Start(); err != nil {
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -1,5 +1,5 @@
 // Registry is one list service: the writer, or a follower that copies it.
-// REGISTRY_CONFIG names its configuration; SIGHUP makes it read that again,
+// REGISTRY_CONFIG or --config names its configuration; SIGHUP makes it read that again,
 // SIGTERM let its watchers move on and end.
 package main
 
@@ -8,6 +8,7 @@
 	crand "crypto/rand"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,7 +19,8 @@
 	"syscall"
 	"time"
 
-	"linnetbend/internal/registry"
+	"dunlintray/internal/command"
+	"dunlintray/internal/registry"
 )
 
 // config is what a list service is told.
@@ -93,21 +95,33 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, func() {}); err != nil {
+	if err := start(ctx); err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "registry:", err)
 		os.Exit(1)
 	}
 }
 
+func start(ctx context.Context) error {
+	options, err := command.Parse("registry", "REGISTRY_CONFIG", os.Args[1:], os.Stderr)
+	if err != nil {
+		return err
+	}
+	if options.Check {
+		if _, err := readConfig(options.Config); err != nil {
+			return err
+		}
+		fmt.Println(options.Config, "is good")
+		return nil
+	}
+	options.Log(os.Stderr)
+	return run(ctx, options.Config, func() {})
+}
+
 // run serves until ctx ends. It says when it has read its configuration.
-func run(ctx context.Context, read func()) error {
+func run(ctx context.Context, path string, read func()) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	path := os.Getenv("REGISTRY_CONFIG")
-	if path == "" {
-		return errors.New("REGISTRY_CONFIG is not set")
-	}
 	c, err := readConfig(path)
 	if err != nil {
 		return err
--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -46,17 +46,16 @@
 	}
 }
 
-// start runs the program with a configuration until the test ends.
-func start(t *testing.T, config string) (path string) {
+// launch runs the program with a configuration until the test ends.
+func launch(t *testing.T, config string) (path string) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	t.Setenv("REGISTRY_CONFIG", path)
 	ctx, stop := context.WithCancel(context.Background())
 	ended, read := make(chan error, 1), make(chan struct{})
-	go func() { ended <- run(ctx, func() { close(read) }) }()
+	go func() { ended <- run(ctx, path, func() { close(read) }) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-ended; err != nil {
@@ -74,8 +73,8 @@
 // An operator runs a writer and a follower, and points the follower elsewhere.
 func TestWriterAndFollower(t *testing.T) {
 	writer, control, follower := freePort(t), freePort(t), freePort(t)
-	start(t, fmt.Sprintf(`{"listen":%q,"control":%q,"lease_ms":500}`, writer, control))
-	path := start(t, fmt.Sprintf(`{"listen":%q,"writer":%q}`, follower, writer))
+	launch(t, fmt.Sprintf(`{"listen":%q,"control":%q,"lease_ms":500}`, writer, control))
+	path := launch(t, fmt.Sprintf(`{"listen":%q,"writer":%q}`, follower, writer))
 	if code, _, _ := get("http://" + control + "/control/ready"); code != 503 {
 		t.Errorf("ready before all could register: %d", code)
 	}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"linnetbend/internal/wire"
-	"linnetbend/rules"
+	"dunlintray/internal/wire"
+	"dunlintray/rules"
 )
 
 func main() {
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	t.Setenv("SOME_CONFIG", "env.json")
+	for _, c := range []struct {
+		args   string
+		config string
+		check  bool
+		err    string // "" for none
+	}{
+		{"", "env.json", false, ""},
+		{"--config a.json --check", "a.json", true, ""},
+		{"--log-level debug --log-format json", "env.json", false, ""},
+		{"--log-level loud", "", false, "log-level"},
+		{"--log-format xml", "", false, `"xml" is neither`},
+		{"start", "", false, "only flags"},
+		{"--config=", "", false, "SOME_CONFIG is not set"},
+		{"--colour", "", false, "colour"},
+	} {
+		o, err := Parse("some", "SOME_CONFIG", strings.Fields(c.args), &bytes.Buffer{})
+		switch {
+		case c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)):
+			t.Errorf("%q: %v", c.args, err)
+		case c.err == "" && (err != nil || o.Config != c.config || o.Check != c.check):
+			t.Errorf("%q: %+v %v", c.args, o, err)
+		}
+	}
+	var out bytes.Buffer
+	if _, err := Parse("some", "SOME_CONFIG", []string{"--help"}, &out); !errors.Is(err, flag.ErrHelp) || !strings.Contains(out.String(), "SOME_CONFIG") {
+		t.Errorf("%v\n%s", err, &out)
+	}
+}
+
+func TestLog(t *testing.T) {
+	t.Setenv("SOME_CONFIG", "env.json")
+	before := slog.Default()
+	defer slog.SetDefault(before)
+	for format, want := range map[string]string{"json": `"gateway":"n1"`, "text": "gateway=n1"} {
+		var out bytes.Buffer
+		o, err := Parse("some", "SOME_CONFIG", []string{"--log-format", format, "--log-level", "warn"}, &out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.Log(&out, "gateway", "n1")
+		slog.Info("quiet")
+		slog.Warn("loud")
+		if text := out.String(); strings.Contains(text, "quiet") || !strings.Contains(text, want) || format == "json" && !json.Valid(out.Bytes()) {
+			t.Errorf("%s: %q", format, text)
+		}
+	}
+}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // patience bounds every wait of a test; none is expected to last so long.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"linnetbend/internal/connlimit"
+	"dunlintray/internal/connlimit"
 )
 
 const (
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -15,7 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"linnetbend/internal/connlimit"
+	"dunlintray/internal/connlimit"
 )
 
 // scarce is a listener that has no descriptor for a while.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -14,7 +14,7 @@
 	"slices"
 	"strconv"
 
-	"linnetbend/internal/wire"
+	"dunlintray/internal/wire"
 )
 
 // Config is what a gateway is told at its start.
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 type reply struct {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"linnetbend/internal/registry"
-	"linnetbend/internal/wire"
-	"linnetbend/rules"
+	"dunlintray/internal/registry"
+	"dunlintray/internal/wire"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"testing"
 
-	"linnetbend/internal/wire"
-	"linnetbend/rules"
+	"dunlintray/internal/wire"
+	"dunlintray/rules"
 )
 
 // agent is a discovery whose answers a test gives one by one.
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -10,7 +10,7 @@
 	"sync"
 	"sync/atomic"
 
-	"linnetbend/internal/wire"
+	"dunlintray/internal/wire"
 )
 
 // classCounts are the final answers to the requests of one class.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"linnetbend/internal/wire"
+	"dunlintray/internal/wire"
 )
 
 // pipes is a listener whose connections are pipes, which know the time of a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"linnetbend/internal/registry"
+	"dunlintray/internal/registry"
 )
 
 // rig is a whole gateway between loopback sockets.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 const (
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"linnetbend/internal/wire"
-	"linnetbend/rules"
+	"dunlintray/internal/wire"
+	"dunlintray/rules"
 )
 
 // Timers of what is over wake nobody, but none that is waited for may be lost.
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"linnetbend/internal/registry"
+	"dunlintray/internal/registry"
 )
 
 // listService is a registry that can be stopped and slowed.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // When a body is let go, and how long a peer may keep one waiting.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -17,7 +17,7 @@
 	"testing/synctest"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // get sends a request and reads the head of the answer when it is asked to.
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // mostTraces bounds the lines a second about single requests, so that an
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // Codes of the records in a batch.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // Codes of the records in a reply.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 // options mirrors the JSON of an Attach record; unknown keys are passed over.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"linnetbend/rules"
+	"dunlintray/rules"
 )
 
 func frame(t testing.TB, text string) []byte {
