--- /dev/null
+++ b/internal/results/results.go
@@ -0,0 +1,226 @@
+// Package results adds up what a play came to: worth served by class, plan and
+// window of the day, latencies from the moment in which a client meant to send,
+// and what it cost.
+package results
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dunlintray/internal/scenario"
+)
+
+// Window is the length of the stretches that are told apart.
+const Window = 5 * time.Second
+
+// Outcome is how a client's wish ended, over all its tries.
+type Outcome int
+
+// The outcomes.
+const (
+	Served  Outcome = iota // within the aim
+	Late                   // served between aim and deadline
+	Refused                // told that trying again is harmless
+	Failed
+	Left // the client gave up early
+	Lost // no answer in time, or none at all
+	outcomes
+)
+
+var names = [outcomes]string{"served", "late", "refused", "failed", "left", "lost"}
+
+func (o Outcome) String() string { return names[o] }
+
+// Line is what one class, plan or window came to.
+type Line struct {
+	Kind    string         `json:"kind"` // class, plan or window
+	Name    string         `json:"name"`
+	Offered float64        `json:"offered"` // worth that one gateway which saw all would let in
+	Earned  float64        `json:"earned"`
+	Asked   int            `json:"asked"`
+	Counts  [outcomes]int  `json:"-"`
+	Ended   map[string]int `json:"ended"`
+	P50Ms   float64        `json:"p50_ms,omitempty"` // latencies of what was served
+	P99Ms   float64        `json:"p99_ms,omitempty"`
+	MaxMs   float64        `json:"max_ms,omitempty"`
+
+	latency *hdrhistogram.Histogram
+}
+
+// Share is the part of the worth that was served.
+func (l *Line) Share() float64 {
+	if l.Offered == 0 {
+		return 0
+	}
+	return min(1, l.Earned/l.Offered) // stores that were full when something was sent on may have been empty when it was asked
+}
+
+// Costs are what the day took beside the requests. All are counts.
+type Costs struct {
+	Tries       int     `json:"tries"` // of clients, their retries among them
+	Attempts    int     `json:"attempts"`
+	Turned      int     `json:"turned_away"` // attempts
+	Handshakes  int     `json:"handshakes"`
+	CrossZone   int     `json:"cross_zone"` // attempts
+	Calls       int     `json:"counter_calls"`
+	CallsTurned int     `json:"counter_calls_turned_away"`
+	Probes      int     `json:"probes"`
+	Datagrams   int     `json:"datagrams"`
+	Beyond      float64 `json:"beyond_quota"` // cost of what was sent on beyond quotas, in worth
+	Cold        int     `json:"fallen_backends"`
+}
+
+// Gateway is what one gateway used.
+type Gateway struct {
+	Kind     string  `json:"kind"` // gateway
+	Name     string  `json:"name"`
+	Starts   int     `json:"starts"`
+	CPUS     float64 `json:"cpu_s"`
+	MemoryMB float64 `json:"memory_mb"` // resident, most
+}
+
+// Tally adds up one play.
+type Tally struct {
+	Costs    Costs
+	Gateways []Gateway
+	total    Line
+	classes  []Line
+	plans    []Line
+	windows  []Line
+	lateness *hdrhistogram.Histogram
+	recent   [outcomes]int
+}
+
+// Latencies are kept in microseconds with two digits, up to two minutes.
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 120_000_000, 2) }
+
+// New returns a tally for a scenario.
+func New(s *scenario.Scenario) *Tally {
+	t := &Tally{total: Line{Kind: "total", Name: s.Name, latency: histogram()}, lateness: histogram()}
+	for _, c := range s.Classes {
+		t.classes = append(t.classes, Line{Kind: "class", Name: c.Name, latency: histogram()})
+	}
+	for _, p := range s.Plans {
+		t.plans = append(t.plans, Line{Kind: "plan", Name: p.Name, latency: histogram()})
+	}
+	for at := time.Duration(0); at < s.Duration.D(); at += Window {
+		t.windows = append(t.windows, Line{Kind: "window", Name: at.String(), latency: histogram()})
+	}
+	return t
+}
+
+func (t *Tally) each(at time.Duration, class, plan int, f func(*Line)) {
+	f(&t.total)
+	f(&t.classes[class])
+	f(&t.plans[plan])
+	f(&t.windows[min(int(at/Window), len(t.windows)-1)])
+}
+
+// Offered adds a client's wish, made at a moment of the day.
+func (t *Tally) Offered(at time.Duration, class, plan int, worth float64) {
+	t.each(at, class, plan, func(l *Line) { l.Offered += worth; l.Asked++ })
+}
+
+// Ended adds how it ended, after how long since it was meant to be sent.
+func (t *Tally) Ended(at time.Duration, class, plan int, o Outcome, worth float64, after time.Duration) {
+	t.recent[o]++
+	t.each(at, class, plan, func(l *Line) {
+		l.Counts[o]++
+		l.Earned += worth
+		if o == Served || o == Late {
+			l.latency.RecordValue(max(1, after.Microseconds())) // beyond two minutes nothing is served
+		}
+	})
+}
+
+// Acted adds how late the emulation itself did what was due.
+func (t *Tally) Acted(late time.Duration) {
+	t.lateness.RecordValue(min(max(1, late.Microseconds()), 120_000_000))
+}
+
+// Lateness is how late the emulation was at a percentile of what it did.
+func (t *Tally) Lateness(percentile float64) time.Duration {
+	return time.Duration(t.lateness.ValueAtQuantile(percentile)) * time.Microsecond
+}
+
+// Share is the part of all worth that was served.
+func (t *Tally) Share() float64 { return t.total.Share() }
+
+// Recent tells how wishes ended since the last call, for a live view.
+func (t *Tally) Recent() map[string]int {
+	m := map[string]int{}
+	for o, n := range t.recent {
+		m[Outcome(o).String()] = n
+	}
+	t.recent = [outcomes]int{}
+	return m
+}
+
+// Lines are all lines, the total first.
+func (t *Tally) Lines() []Line {
+	all := append([]Line{t.total}, t.classes...)
+	all = append(all, t.plans...)
+	all = append(all, t.windows...)
+	for i := range all {
+		l := &all[i]
+		l.Ended = map[string]int{}
+		for o, n := range l.Counts {
+			l.Ended[Outcome(o).String()] = n
+		}
+		ms := func(us int64) float64 { return float64(us) / 1e3 }
+		l.P50Ms, l.P99Ms, l.MaxMs = ms(l.latency.ValueAtQuantile(50)), ms(l.latency.ValueAtQuantile(99)), ms(l.latency.Max())
+	}
+	return all
+}
+
+// JSON writes one line for each class, plan, window and gateway, and the costs.
+func (t *Tally) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	for _, l := range t.Lines() {
+		if err := e.Encode(l); err != nil {
+			return err
+		}
+	}
+	for _, g := range t.Gateways {
+		if err := e.Encode(g); err != nil {
+			return err
+		}
+	}
+	return e.Encode(struct {
+		Kind string `json:"kind"`
+		Costs
+		LateP99Ms float64 `json:"tool_late_p99_ms"`
+		LateMaxMs float64 `json:"tool_late_max_ms"`
+	}{"costs", t.Costs, t.Lateness(99).Seconds() * 1e3, t.Lateness(100).Seconds() * 1e3})
+}
+
+// Table writes it for people.
+func (t *Tally) Table(w io.Writer) {
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "\tworth\tasked\tserved\tlate\trefused\tfailed\tleft\tlost\tp50\tp99\tmax")
+	for _, l := range t.Lines() {
+		fmt.Fprintf(tab, "%s %s\t%.3f\t%d", l.Kind, l.Name, l.Share(), l.Asked)
+		for _, n := range l.Counts {
+			fmt.Fprintf(tab, "\t%d", n)
+		}
+		fmt.Fprintf(tab, "\t%.0f ms\t%.0f ms\t%.0f ms\n", l.P50Ms, l.P99Ms, l.MaxMs)
+	}
+	tab.Flush()
+	c := t.Costs
+	fmt.Fprintf(w, "%d tries; %d attempts, %d turned away, %d between zones; %d handshakes, %d probes; %d counter calls, %d turned away; beyond quotas -%.3f\n",
+		c.Tries, c.Attempts, c.Turned, c.CrossZone, c.Handshakes, c.Probes, c.Calls, c.CallsTurned, c.Beyond/max(1, t.total.Offered))
+	var cpu, most float64
+	for _, g := range t.Gateways {
+		cpu += g.CPUS
+		most = max(most, g.MemoryMB)
+	}
+	if len(t.Gateways) > 0 {
+		fmt.Fprintf(w, "%d gateways: %.2f s of CPU (%.2f ms a try), %.0f MB at most\n", len(t.Gateways), cpu, cpu*1e3/float64(max(1, c.Tries)), most)
+	}
+	fmt.Fprintf(w, "the emulation was late by %v at p99, %v at most\n", t.Lateness(99).Round(10*time.Microsecond), t.Lateness(100).Round(10*time.Microsecond))
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,76 @@
+package scenario
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+func TestDefaultIsGood(t *testing.T) {
+	s := Default()
+	if problems := s.Check(); len(problems) > 0 {
+		t.Error(problems)
+	}
+	// What is printed can be read again, and is the same.
+	var out bytes.Buffer
+	if err := toml.NewEncoder(&out).Encode(s); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Parse("printed", out.Bytes())
+	if err != nil {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	var once bytes.Buffer
+	if err := toml.NewEncoder(&once).Encode(again); err != nil || once.String() != out.String() {
+		t.Errorf("%v\n%s\n%s", err, &out, &once)
+	}
+}
+
+const class = "[[class]]\nname = \"a\"\nshare = 1.0\nworth = 1.0\naim = \"100ms\"\ndeadline = \"1s\"\neffect = \"once\"\nwork = \"5ms\"\nunits = 1\nanswer_bytes = 100\n"
+
+// Bad scenarios are refused with the line and the key of each fault.
+func TestBadScenarios(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"colour = 1", "bad:1: colour: no such key"},
+		{"name = \"x\"\n[fleet]\ngateways = 3\nservers = 2\n\n[load]\nspeed = 1", "bad:4: fleet.servers: no such key\nbad:7: load.speed: no such key"},
+		{"[fleet]\ngateways = \"many\"", "bad:2: "},
+		{"name = ", "bad:1: "},
+		{"\nduration = \"long\"", "bad:2: "},
+		{"[load]\nimpatient = 1.5", "bad:2: load.impatient: 1.5 is not a share"},
+		{"duration = \"10s\"\n\n[[fault]]\nkind = \"kill\"\nat = \"12s\"\nfor = \"1s\"\npart = 0.5", "bad:5: fault[0].at: 12s is not within the 10s"},
+		{"[[fault]]\nkind = \"kill\"\nat = \"1s\"\nfor = \"1s\"\npart = 0.5\n\n[[fault]]\nkind = \"flood\"\nat = \"1s\"", "bad:8: fault[1].kind: \"flood\" is not known"},
+		{"[[fault]]\nkind = \"kill\"\nat = \"1s\"\nfor = \"1s\"", "bad:1: fault[0].part: it needs either"},
+		{"[[fault]]\nkind = \"errors\"\nat = \"1s\"\nfor = \"1s\"\npart = 0.5\nsize = 2.0", "bad:6: fault[0].size: 2 is not a share"},
+		{"[[fault]]\nkind = \"cut\"\nat = \"1s\"\nfor = \"1s\"\nzone = \"x\"", "bad:5: fault[0].zone: \"x\" is not a zone"},
+		{"[fleet]\nzones = [\"a\"]\n[[fault]]\nkind = \"cut\"\nat = \"1s\"\nfor = \"1s\"\nzone = \"a\"", "bad:7: fault[0].zone: there is no other zone"},
+		{strings.Replace(class, "units = 1", "units = 1000", 1), "bad:9: class[0].units: no plan's burst holds 1000"},
+		{strings.Replace(class, "share = 1.0", "share = 0.5", 1), "bad:1: class: the shares are 0.5 together"},
+		{strings.Replace(class, "\"once\"", "\"twice\"", 1), "bad:7: class[0].effect: \"twice\""},
+		{strings.Replace(class, "aim = \"100ms\"", "aim = \"2s\"", 1), "bad:5: class[0].aim: 2s"},
+		{class + class, "class[1].name: \"a\" is not a name"},
+		{"[fleet]\ngateways = 2", "plan[0].spread: 3 is not from 1 to the 2 gateways"},
+		{"[load]\nshape = [{at = \"5s\", times = 1.0}, {at = \"4s\", times = 1.0}]", "bad:2: load.shape: step 1: 4s is not behind"},
+		{"[rules]\nattempts = 0", "bad:2: rules.attempts: 0"},
+	} {
+		_, err := Parse("bad", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q\ngave %v\nnot  %s", c.text, err, c.want)
+		}
+	}
+	if _, err := Parse("good", []byte(class)); err != nil {
+		t.Errorf("%v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(class))
+	f.Add([]byte("[load]\nshape = [{at = \"5s\", times = 1.0}]\n[[fault]]\nkind = \"cut\"\n[fleet]\nzones=[]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("f", text)
+		if err == nil && len(s.Check()) > 0 {
+			t.Errorf("taken, though %v", s.Check())
+		}
+	})
+}
--- /dev/null
+++ b/internal/world/faults.go
@@ -0,0 +1,152 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dunlintray/internal/scenario"
+)
+
+// strike begins a fault, and plans its end.
+func (w *World) strike(f *scenario.Fault) {
+	text := fmt.Sprintf("%s for %v", f.Kind, f.For)
+	if f.Zone != "" {
+		text += " in zone " + f.Zone
+	}
+	end := func(do func()) { w.after(f.For.D(), do) }
+	switch f.Kind {
+	case "kill", "restart", "freeze":
+		struck := w.struck(len(w.gateways), f.Part, f.Zone, w.Zone, func(g int) bool { return w.gateways[g].state == up })
+		text += fmt.Sprintf(": gateways %d", struck)
+		w.do(Mark{text})
+		w.onGateways(f, struck)
+		return
+	case "crash", "vanish", "replace", "slow", "errors", "spoilt", "resets":
+		struck := w.struck(len(w.backends), f.Part, f.Zone, w.zoneOf, func(b int) bool { return w.backends[b].state == running && !w.backends[b].draining })
+		text += fmt.Sprintf(": backends %d", struck)
+		w.do(Mark{text})
+		w.onBackends(f, struck)
+		return
+	case "cut":
+		at := slices.Index(w.s.Fleet.Zones, f.Zone)
+		w.cuts[at]++
+		w.relink()
+		w.lists()
+		end(func() {
+			w.cuts[at]--
+			w.relink()
+			w.lists()
+		})
+	case "counter_silent":
+		w.counter.silent++
+		w.relink()
+		end(func() {
+			w.counter.silent--
+			w.counter.empty()
+			w.relink()
+		})
+	case "counter_empty":
+		w.counter.empty()
+	case "list_late":
+		w.hushed++
+		w.lists()
+		end(func() { w.hushed--; w.lists() })
+	case "list_stale":
+		w.stale++
+		w.lists()
+		end(func() { w.stale--; w.lists() })
+	case "burst": // in load
+	case "rude":
+		for g := range w.gateways {
+			w.do(Rude{Gateway: g, Connections: int(f.Size), For: f.For.D()})
+		}
+	}
+	w.do(Mark{text})
+}
+
+func (w *World) onGateways(f *scenario.Fault, struck []int) {
+	for i, g := range struck {
+		switch f.Kind {
+		case "kill":
+			w.kill(g)
+			w.after(f.For.D(), func() { w.boot(g) })
+		case "freeze":
+			w.freeze(g, f.For.D())
+		case "restart": // a tenth at a time
+			step := (i * 10 / len(struck))
+			w.after(f.For.D()*time.Duration(step)/10, func() { w.stop(g) })
+		}
+	}
+}
+
+func (w *World) onBackends(f *scenario.Fault, struck []int) {
+	for i, n := range struck {
+		b := w.backends[n]
+		var trouble *float64
+		switch f.Kind {
+		case "crash":
+			w.crash(b)
+			w.list(b, true)
+			w.after(f.For.D(), func() { w.start(b) })
+		case "vanish":
+			b.state = vanished
+			w.stopped(b)
+			w.relink()
+			w.list(b, true)
+			w.after(f.For.D(), func() { w.start(b) })
+		case "replace":
+			w.after(f.For.D()*time.Duration(i)/time.Duration(len(struck)), func() { w.replace(b) })
+		case "slow":
+			trouble = &b.slow
+		case "errors":
+			trouble = &b.errors
+		case "spoilt":
+			trouble = &b.spoilt
+		case "resets":
+			trouble = &b.resets
+		}
+		if trouble != nil {
+			*trouble = f.Size
+			w.after(f.For.D(), func() { *trouble = 0 })
+		}
+	}
+}
+
+// replace drains a backend, and brings another in its place.
+func (w *World) replace(b *backend) {
+	if b.state != running || b.draining {
+		return
+	}
+	b.draining = true
+	b.drainAt = w.now
+	w.list(b, false)
+	next := w.add(w.now)
+	next.asOf = w.now
+	w.list(next, false)
+	longest := time.Duration(0)
+	for _, c := range w.s.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	w.after(longest+w.s.Rules.DrainGrace.D()+2*w.s.Network.ListDelay.D()+time.Second, func() {
+		b.state = ended
+		b.listed = false
+		w.stopped(b)
+		w.relink()
+		e := b.entry()
+		e.Lifecycle = Gone
+		w.do(Enlist{Entry: e})
+		if w.s.Fleet.ListServices == 0 {
+			w.tell()
+		}
+	})
+}
+
+// lists tells the driver what each gateway can hear of lists. They stand in the
+// first zone.
+func (w *World) lists() {
+	for n, g := range w.gateways {
+		held := w.hushed > 0 || g.zone != 0 && (w.cuts[g.zone] > 0 || w.cuts[0] > 0)
+		w.do(Lists{Gateway: n, Held: held, Stale: w.stale > 0})
+	}
+}
--- /dev/null
+++ b/internal/world/gateways.go
@@ -0,0 +1,192 @@
+package world
+
+import (
+	"fmt"
+	"time"
+)
+
+type gatewayState int
+
+const (
+	starting gatewayState = iota
+	up
+	stopping
+	down
+)
+
+// gateway is one process as the platform sees it.
+type gateway struct {
+	zone    int
+	state   gatewayState
+	process bool // there is one
+	wanted  bool // another is to be started once it has ended
+	front   bool // the front sends clients to it
+	lives   int
+	calls   int // connections to the counter
+}
+
+// stopSends is how long a front still sends to a gateway that was told to end.
+const stopSends = 300 * time.Millisecond
+
+func (w *World) ready(n int) {
+	g := &w.gateways[n]
+	if g.state == starting {
+		g.state = up
+		g.front = true
+	}
+}
+
+func (w *World) exited(e Exited) {
+	g := &w.gateways[e.Gateway]
+	g.process = false
+	switch g.state {
+	case up, starting:
+		w.Judge.Crashed(w.now, e.Gateway, e.How)
+		w.do(Mark{fmt.Sprintf("gateway n%d ended: %s", e.Gateway, e.How)})
+		g.front = false
+		g.state = down
+		return
+	case stopping:
+		g.state = down
+		g.wanted = true
+	}
+	if lives := g.lives; g.wanted {
+		w.after(bootAfter, func() {
+			if g.lives == lives {
+				w.boot(e.Gateway)
+			}
+		})
+	}
+}
+
+// bootAfter is how long after its end a gateway's next process is started.
+const bootAfter = 100 * time.Millisecond
+
+// kill ends a gateway's process at once. The front sees it late.
+func (w *World) kill(n int) {
+	g := &w.gateways[n]
+	g.state = down
+	g.lives++
+	w.Judge.Excuse(w.now, n)
+	w.do(Kill{n})
+	lives := g.lives
+	w.after(w.s.Network.Notice.D(), func() {
+		if g.lives == lives && g.state != up {
+			g.front = false
+		}
+	})
+}
+
+// boot starts its next process, once the last has ended.
+func (w *World) boot(n int) {
+	g := &w.gateways[n]
+	if g.state != down {
+		return
+	}
+	if g.wanted = g.process; g.wanted {
+		return
+	}
+	g.lives++
+	g.state = starting
+	g.process = true
+	w.Judge.Back(w.now, n, true)
+	w.do(Start{n})
+}
+
+// stop tells a gateway to end, and starts it again when it has, or has been made
+// to.
+func (w *World) stop(n int) {
+	g := &w.gateways[n]
+	if g.state != up {
+		return
+	}
+	g.state = stopping
+	g.lives++
+	lives := g.lives
+	w.Judge.Stopping(w.now, n)
+	w.do(Stop{n})
+	w.after(stopSends, func() {
+		if g.lives == lives {
+			g.front = false
+		}
+	})
+	longest := 3 * time.Second
+	for _, c := range w.s.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	w.after(longest+700*time.Millisecond, func() {
+		if g.lives == lives && g.state == stopping {
+			w.Judge.Hung(w.now, n)
+			w.do(Kill{n})
+		}
+	})
+}
+
+func (w *World) freeze(n int, d time.Duration) {
+	g := &w.gateways[n]
+	if g.state != up {
+		return
+	}
+	lives := g.lives
+	w.Judge.Excuse(w.now, n)
+	w.do(Freeze{n})
+	w.after(d, func() {
+		if g.lives == lives {
+			w.do(Thaw{n})
+			// What was on its way while it stood still is answered late.
+			w.after(w.s.Rules.Observe.D(), func() {
+				if g.lives == lives {
+					w.Judge.Back(w.now, n, false)
+				}
+			})
+		}
+	})
+}
+
+// list tells discovery of a backend, and gateways late.
+func (w *World) list(b *backend, lost bool) {
+	w.do(Enlist{Entry: b.entry(), Lost: lost})
+	if w.s.Fleet.ListServices > 0 {
+		return // they tell it
+	}
+	if !lost {
+		w.tell()
+		return
+	}
+	lives := b.lives
+	w.after(lostAfter, func() {
+		if b.lives == lives {
+			b.listed = false
+			w.tell()
+		}
+	})
+}
+
+// tell every gateway the list, each with its own delay.
+func (w *World) tell() {
+	for g := range w.gateways {
+		late := time.Duration(share(mix(w.s.Seed, uint64(w.now), uint64(g))) * float64(w.s.Network.ListDelay))
+		w.after(late, func() { w.do(Tell{g, w.Entries()}) })
+	}
+}
+
+// lostAfter is when a discovery finds out by itself that a backend is gone.
+const lostAfter = 2 * time.Second
+
+func (w *World) told(e Told) {
+	if e.Whole {
+		// What the list leaves out is gone.
+		listed := map[int]bool{}
+		for _, entry := range e.Entries {
+			listed[entry.Backend] = true
+		}
+		for _, b := range w.Judge.Named(e.Gateway) {
+			if !listed[b] {
+				w.Judge.Told(w.now, e.Gateway, b, false, -1)
+			}
+		}
+	}
+	for _, entry := range e.Entries {
+		w.Judge.Told(w.now, e.Gateway, entry.Backend, entry.Lifecycle == Serving, entry.Started)
+	}
+}
--- /dev/null
+++ b/internal/world/types.go
@@ -0,0 +1,214 @@
+// Package world emulates all that gateways meet: clients, backends, the counter,
+// discovery, the network, and what goes wrong. It is a pure model: events and the
+// time go in, actions come out, and what is drawn comes from the scenario's seed.
+// A driver carries the actions out, on sockets or in simulated time.
+package world
+
+import "time"
+
+// Conn is a connection that a gateway has opened, numbered by the driver.
+type Conn uint64
+
+// Counter stands for the counter where a backend's number is asked for.
+const Counter = -1
+
+// Event is something that happened. All but Tick come from the driver's watching.
+type Event any
+
+// The events.
+type (
+	// Tick: time has passed.
+	Tick struct{}
+	// Opened: a gateway has connected to a backend or the counter.
+	Opened struct {
+		Conn    Conn
+		Gateway int
+		Peer    int
+	}
+	// Closed: the gateway has ended a connection, or its sending on it.
+	Closed struct{ Conn Conn }
+	// Arrived: a request has come whole at a backend.
+	Arrived struct {
+		Conn  Conn
+		ID    uint64
+		First time.Duration // when its first byte came
+		Class string        // of its path
+		Key   string
+		Body  Body
+		Same  bool // what the model does not know is as the client sent it
+	}
+	// Probed: a backend was asked for its health.
+	Probed struct{ Conn Conn }
+	// Called: the counter was called.
+	Called struct {
+		Conn Conn
+		Name string
+		Add  float64
+		Life time.Duration
+	}
+	// Taken: a request's last byte has been written to a gateway.
+	Taken struct{ ID uint64 }
+	// Answered: a client got an answer, or the beginning of one.
+	Answered struct {
+		ID      uint64
+		Status  int
+		Whole   bool
+		Body    Body
+		BodyErr error
+		Advice  time.Duration // Retry-After
+	}
+	// Unanswered: the connection ended, or never came up, before any of an answer.
+	Unanswered struct {
+		ID     uint64
+		Reused bool // others had been answered on it
+		Sent   bool // the request had gone out whole
+	}
+	// Extra: more came on a client's connection than was asked for.
+	Extra struct {
+		Gateway int
+		ID      uint64 // the last request on it
+	}
+	// Told: a list has been written to a gateway.
+	Told struct {
+		Gateway int
+		Whole   bool
+		Entries []Entry
+	}
+	// Datagram: a gateway has sent one to another, or to Everyone. The driver
+	// has its bytes.
+	Datagram struct {
+		Number   uint64
+		From, To int
+		Bytes    int
+	}
+	// Ready: a gateway takes clients.
+	Ready struct{ Gateway int }
+	// Exited: a gateway's process has ended.
+	Exited struct {
+		Gateway int
+		How     string
+	}
+)
+
+// Entry is a backend as lists tell it.
+type Entry struct {
+	Backend   int
+	Zone      int
+	Cell      int
+	Lifecycle Lifecycle
+	Started   time.Duration // below 0: long ago
+}
+
+// Lifecycle is what lists tell of a backend.
+type Lifecycle int
+
+// The lifecycles.
+const (
+	Serving Lifecycle = iota
+	Draining
+	Gone
+)
+
+// Action is something for the driver to do.
+type Action struct {
+	Due time.Duration // when the model meant it to be done
+	Do  any
+}
+
+// The actions.
+type (
+	// Send a request as a client, on a new connection if it says so.
+	Send struct {
+		Request
+		Fresh bool
+	}
+	// Abandon a request: its connection is closed.
+	Abandon struct{ ID uint64 }
+	// Reply on a connection from a gateway.
+	Reply struct {
+		Conn   Conn
+		Status int
+		Unseen bool // the request was turned away unseen
+		Body   Body
+		Spoilt bool    // the body ends early, and the connection with it
+		Load   *Report // if told
+		Close  bool
+	}
+	// Total is an answer of the counter; a status of 503 turns the call away.
+	Total struct {
+		Conn   Conn
+		Status int
+		Total  float64
+	}
+	// Reset a connection from a gateway.
+	Reset struct{ Conn Conn }
+	// Link changes what lies between a gateway and a backend or the counter.
+	Link struct {
+		Gateway, Peer int
+		State         LinkState
+	}
+	// Enlist tells discovery of a backend. Lost means that it says nothing more.
+	Enlist struct {
+		Entry
+		Lost bool
+	}
+	// Tell a gateway the whole list, where the world is the discovery.
+	Tell struct {
+		Gateway int
+		Entries []Entry
+	}
+	// Lists changes what a gateway can hear of lists.
+	Lists struct {
+		Gateway int
+		Held    bool // nothing is told
+		Stale   bool // a whole list is the one from when this began
+	}
+	// Start, Kill, Stop, Freeze and Thaw a gateway's process.
+	Start  struct{ Gateway int }
+	Kill   struct{ Gateway int }
+	Stop   struct{ Gateway int }
+	Freeze struct{ Gateway int }
+	Thaw   struct{ Gateway int }
+	// Rude connections are opened to a gateway and end after a while.
+	Rude struct {
+		Gateway, Connections int
+		For                  time.Duration
+	}
+	// Deliver a datagram that came before.
+	Deliver struct {
+		Number   uint64
+		From, To int
+	}
+	// Mark notes what befalls the fleet.
+	Mark struct{ Text string }
+)
+
+// LinkState is what connections along a link meet.
+type LinkState int
+
+// The states. Going up from Silent resets the connections that stood.
+const (
+	Up LinkState = iota
+	Refusing
+	Silent
+)
+
+// Request is one try of a client.
+type Request struct {
+	ID       uint64
+	Gateway  int
+	Class    int
+	Plan     int
+	Customer uint64
+	Set      int // number of the first gateway of the customer's set
+	Left     time.Duration
+	Key      string // where its class is keyed
+	Body     Body
+	Repeat   bool
+}
+
+// Report is what a backend tells of its load.
+type Report struct {
+	Held, Waiting int
+	Busy          float64
+}
--- /dev/null
+++ b/internal/world/world_test.go
@@ -0,0 +1,292 @@
+package world
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dunlintray/internal/referee"
+	"dunlintray/internal/scenario"
+)
+
+const second = scenario.Duration(time.Second)
+
+// troubled is a fleet on which everything goes wrong that doubles can live
+// through. Ceilings are left out: the doubles hold none.
+func troubled(seed uint64) *scenario.Scenario {
+	s := scenario.Default()
+	s.Seed, s.Duration = seed, 12*second
+	s.Fleet.ListServices = 0
+	for i := range s.Plans {
+		s.Plans[i].CeilingRate, s.Plans[i].CeilingBurst = 0, 0
+	}
+	s.Faults = []scenario.Fault{
+		{Kind: "errors", At: 1 * second, For: 9 * second, Part: 0.3, Size: 0.3},
+		{Kind: "replace", At: 2 * second, For: 2 * second, Part: 0.5},
+		{Kind: "kill", At: 3 * second, For: second, Part: 0.3},
+		{Kind: "vanish", At: 5 * second, For: 2 * second, Part: 0.2},
+		{Kind: "spoilt", At: 5 * second, For: 5 * second, Part: 0.3, Size: 0.3},
+		{Kind: "restart", At: 7 * second, For: 2 * second, Part: 0.5},
+		{Kind: "resets", At: 8 * second, For: 3 * second, Part: 0.5, Size: 0.3},
+		{Kind: "crash", At: 9 * second, For: 1 * second, Part: 0.2},
+		{Kind: "cut", At: 10 * second, For: 1 * second, Zone: "b"},
+		{Kind: "burst", At: 10 * second, For: 1 * second, Size: 1.5},
+	}
+	return &s
+}
+
+func TestSoundGatewaysBreakNoRule(t *testing.T) {
+	for seed := range uint64(20) {
+		h := playDoubles(troubled(seed), "")
+		violations, counts := h.w.Judge.Violations()
+		if len(counts) > 0 {
+			t.Errorf("seed %d: %v\n%v", seed, counts, violations[0])
+		}
+		if !h.w.Done() || h.w.Tally.Share() < 0.5 {
+			t.Errorf("seed %d: done %v, worth %.3f", seed, h.w.Done(), h.w.Tally.Share())
+		}
+	}
+}
+
+// Each planted defect is named by the rule that it breaks, and by no other that
+// it does not lead to.
+func TestDefectsAreNamed(t *testing.T) {
+	for defect, rule := range map[string]string{
+		"holds": referee.Answer, "makes up": referee.Answer, "answers twice": referee.Twice, "sends twice": referee.Copy,
+		"sends once again": referee.Resend, "refuses what ran": referee.Refusal, "tries on": referee.Most, "ignores drains": referee.Drain,
+		"floods the cold": referee.Cold, "sends its own": referee.Unknown, "changes": referee.Changed, "ends": referee.Crash,
+		"never ends": referee.Stop, "shuts the door": referee.Door,
+	} {
+		s := troubled(3)
+		if defect == "tries on" {
+			s.Faults[0].Size = 1
+			s.Faults[0].Part = 1
+		}
+		h := playDoubles(s, defect)
+		violations, counts := h.w.Judge.Violations()
+		if h.planted == 0 || counts[rule] == 0 {
+			t.Errorf("%s: acted out %d times, told as %v, not as %s", defect, h.planted, counts, rule)
+			continue
+		}
+		for _, v := range violations {
+			if v.Rule == rule && v.Request != 0 && (len(v.History) == 0 || !strings.Contains(v.String(), v.History[0])) {
+				t.Errorf("%s: no history in %v", defect, v)
+			}
+		}
+		// Two attempts at once may also be one after a possible run, a held answer
+		// makes others late at a stop; nothing else may come of a defect.
+		leads := map[string][]string{"sends twice": {referee.Resend, referee.Most}, "sends its own": {referee.Answer}, "never ends": {referee.Answer}, "holds": {referee.Stop},
+			"tries on": {referee.Resend}, "ends": {referee.Answer}}[defect]
+		for other := range counts {
+			if other != rule && !strings.Contains(strings.Join(leads, " "), other) {
+				t.Errorf("%s: also told as %v", defect, counts)
+			}
+		}
+	}
+}
+
+// A customer that is let over its ceiling is told, with the slack that it has.
+func TestCeiling(t *testing.T) {
+	s := troubled(1)
+	s.Faults = nil
+	for i := range s.Plans {
+		s.Plans[i].Rate, s.Plans[i].Burst = 1, 4
+		s.Plans[i].CeilingRate, s.Plans[i].CeilingBurst, s.Plans[i].CeilingSlack = 1, 12, 2
+	}
+	if _, counts := playDoubles(s, "").w.Judge.Violations(); counts[referee.Ceiling] == 0 || len(counts) != 1 {
+		t.Errorf("told as %v", counts)
+	}
+}
+
+// The same seed gives the same day, to the byte.
+func TestSameSeedSameDay(t *testing.T) {
+	text := func(seed uint64, defect string) string {
+		h := playDoubles(troubled(seed), defect)
+		var out bytes.Buffer
+		if err := h.w.Tally.JSON(&out); err != nil {
+			t.Fatal(err)
+		}
+		violations, _ := h.w.Judge.Violations()
+		for _, v := range violations {
+			out.WriteString(v.String())
+		}
+		return out.String()
+	}
+	for _, defect := range []string{"", "sends twice"} {
+		if a, b := text(5, defect), text(5, defect); a != b {
+			t.Errorf("%q: two plays differ:\n%s\n%s", defect, a, b)
+		}
+	}
+	if text(5, "") == text(6, "") {
+		t.Error("two seeds gave one day")
+	}
+}
+
+// What clients want, and when, does not depend on what gateways do.
+func TestArrivalsAreOpenLoop(t *testing.T) {
+	arrivals := func(defect string) (all []Request) {
+		s := troubled(2)
+		s.Load.Retries = 0
+		w := New(s)
+		for g := range s.Fleet.Gateways {
+			w.Step(0, Ready{g})
+		}
+		take := func(actions []Action) {
+			for _, a := range actions {
+				if send, ok := a.Do.(Send); ok {
+					send.Gateway = 0 // the front's choice follows the gateways' states
+					all = append(all, send.Request)
+					if defect != "" {
+						w.Step(a.Due, Answered{ID: send.ID, Status: 503, Whole: true})
+					}
+				}
+			}
+		}
+		take(w.Begin(0))
+		for next, ok := w.Next(); ok && !w.Done(); next, ok = w.Next() {
+			take(w.Step(next, Tick{}))
+		}
+		return all
+	}
+	a, b := arrivals(""), arrivals("refused")
+	if len(a) != len(b) || len(a) < 3000 {
+		t.Fatalf("%d and %d", len(a), len(b))
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("%d: %+v and %+v", i, a[i], b[i])
+		}
+	}
+}
+
+// A backend's throughput is that of its cores, and less when it is cold or too
+// full; a full one turns away.
+func TestBackendCapacity(t *testing.T) {
+	const work, span, cores = 0.1, 10 * time.Second, 2
+	// As many requests as atOnce are kept at the backend.
+	served := func(started time.Duration, atOnce int, overfull float64) (done, turned int) {
+		s := scenario.Default()
+		s.Backend.Cores, s.Backend.Slots, s.Backend.Queue, s.Backend.Overfull = cores, 8, 8, overfull
+		s.Backend.ColdFrom, s.Backend.Cold, s.Backend.ColdMultiple, s.Backend.Handshake = 0.25, 3600*second, 1000, 0
+		s.Network.Delay, s.Network.CrossZone = 0, 0
+		s.Fleet.Backends, s.Fleet.ListServices = 1, 0
+		s.Duration, s.Load.RequestsPerS, s.Load.ShiftEvery = 3600*second, 1e-9, 0
+		w := New(&s)
+		w.Begin(0)
+		w.backends[0].started = started
+		n := uint64(0)
+		send := func(now time.Duration) []Action {
+			n++
+			w.clients.open[n] = &try{wish: &wish{at: now, work: work, worth: 1}, id: n, due: now + time.Hour}
+			return append(w.Step(now, Opened{Conn(n), 0, 0}), w.Step(now, Arrived{Conn: Conn(n), ID: n, First: now, Class: s.Classes[0].Name, Same: true})...)
+		}
+		var queue []Action
+		for range atOnce {
+			queue = append(queue, send(0)...)
+		}
+		for next, ok := w.Next(); ok && next < span && turned < 20; next, ok = w.Next() {
+			queue = append(queue, w.Step(next, Tick{})...)
+			for len(queue) > 0 {
+				a := queue[0]
+				queue = queue[1:]
+				if r, ok := a.Do.(Reply); ok {
+					if r.Status == 200 {
+						done++
+					} else {
+						turned++
+					}
+					queue = append(queue, send(a.Due)...)
+				}
+			}
+		}
+		return done, turned
+	}
+	full := cores * span.Seconds() / work
+	for _, c := range []struct {
+		name     string
+		started  time.Duration
+		atOnce   int
+		overfull float64
+		want     float64
+	}{{"warm", -1, 2, 0, full}, {"one alone has one core", -1, 1, 0, full / 2}, {"cold", 0, 2, 0, full / 4}, {"overfull", -1, 8, 0.5, full / 2}} {
+		if done, turned := served(c.started, c.atOnce, c.overfull); float64(done) < c.want*0.95 || float64(done) > c.want*1.03 || turned > 0 {
+			t.Errorf("%s: %d served, %d turned away, not %.0f", c.name, done, turned, c.want)
+		}
+	}
+	if _, turned := served(-1, 17, 0); turned == 0 {
+		t.Error("17 at once: none was turned away of 16 places")
+	}
+}
+
+func TestBodies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Body{Seed: rapid.Uint64().Draw(t, "seed"), Size: rapid.Int64Range(17, 20_000).Draw(t, "size")}
+		text, err := io.ReadAll(b.Reader())
+		if err != nil || int64(len(text)) != b.Size {
+			t.Fatalf("%d bytes, %v", len(text), err)
+		}
+		if got, err := ReadBody(bytes.NewReader(text)); err != nil || got != b {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		at := rapid.IntRange(0, len(text)-1).Draw(t, "at")
+		text[at] ^= 1
+		if got, err := ReadBody(bytes.NewReader(text)); err == nil && got == b {
+			t.Fatalf("byte %d was changed unseen", at)
+		}
+	})
+}
+
+// The counter adds in turn, turns away what would wait too long, forgets names
+// when their life is over, and everything when it is lost.
+func TestCounter(t *testing.T) {
+	s := scenario.Default()
+	s.Fleet.ListServices, s.Duration, s.Load.RequestsPerS = 0, 60*second, 1e-9
+	s.Counter.CallsPerS, s.Counter.Queue = 100, 5
+	s.Faults = []scenario.Fault{{Kind: "counter_silent", At: 10 * second, For: second}}
+	w := New(&s)
+	w.Begin(0)
+	w.Step(0, Opened{1, 0, Counter})
+	call := func(at time.Duration, n int) (totals []float64, turned int) {
+		var actions []Action
+		for range n {
+			actions = append(actions, w.Step(at, Called{1, "a", 2, 5 * time.Second})...)
+		}
+		for next, ok := w.Next(); ok && next < at+time.Second; next, ok = w.Next() {
+			actions = append(actions, w.Step(next, Tick{})...)
+		}
+		for _, a := range actions {
+			if total, ok := a.Do.(Total); ok && total.Status == 200 {
+				totals = append(totals, total.Total)
+			} else if ok {
+				turned++
+			}
+		}
+		return
+	}
+	if totals, turned := call(0, 10); len(totals) < 4 || len(totals) > 6 || turned != 10-len(totals) || totals[0] != 2 || totals[3] != 8 {
+		t.Errorf("at once: %v, %d turned away", totals, turned)
+	}
+	if totals, _ := call(4*time.Second, 1); len(totals) != 1 || totals[0] < 10 {
+		t.Errorf("within its life: %v", totals)
+	}
+	if totals, _ := call(6*time.Second, 1); len(totals) != 1 || totals[0] != 2 {
+		t.Errorf("after its life: %v", totals)
+	}
+	if totals, _ := call(10*time.Second+time.Millisecond, 1); len(totals) != 0 {
+		t.Errorf("silent: %v", totals)
+	}
+	w.Step(11*time.Second, Opened{2, 0, Counter})
+	var back []float64
+	for _, a := range append(w.Step(11*time.Second, Called{2, "a", 2, 5 * time.Second}), w.Step(11500*time.Millisecond, Tick{})...) {
+		if total, ok := a.Do.(Total); ok {
+			back = append(back, total.Total)
+		}
+	}
+	if len(back) != 1 || back[0] != 2 {
+		t.Errorf("back: %v", back)
+	}
+}
