dunlintray: fleets of real processes in the emulated world, on loopback

The need: a fleet under load by one command, judged.

Seven scenarios ship. Example configurations of the daemons ship and are tested.

Measured: three fleets side by side through kill, freeze, vanish, replacement and rude clients break no rule and leave no process; on sockets doubles that hang, make up, answer twice, stray, drop and die are named.

--- /dev/null
+++ b/cmd/dunlintray/main.go
@@ -0,0 +1,355 @@
+// Dunlintray is the operators' tool: it runs a whole fleet on this machine, real
+// gateways in an emulated world, and speaks to gateways that run elsewhere.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pelletier/go-toml/v2"
+
+	"dunlintray/internal/play"
+	"dunlintray/internal/scenario"
+	"dunlintray/scenarios"
+)
+
+// How the command ends, beside 0 and 1 for errors.
+const (
+	exitBroken = 2 // a rule was broken
+	exitLate   = 3 // the play does not count
+)
+
+type cli struct {
+	Up      upCmd      `cmd:"" help:"Start a whole fleet on this machine, and load it until Ctrl-C."`
+	Play    playCmd    `cmd:"" help:"Play a scenario and judge it."`
+	Config  configCmd  `cmd:"" help:"Check and print configurations."`
+	Call    callCmd    `cmd:"" help:"Call a gateway's or a list service's control address."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// programs are the daemons that a fleet is made of, and where it writes.
+type programs struct {
+	Gateway  string `help:"Path of the gateway's program." placeholder:"PATH" type:"path"`
+	Registry string `help:"Path of the list service's program." placeholder:"PATH" type:"path"`
+	Dir      string `help:"Folder for configurations and logs; without it, one that is removed unless something goes wrong." type:"path" placeholder:"DIR"`
+	JSON     string `name:"json" help:"File for the results, as lines of JSON; - for standard output." placeholder:"FILE"`
+	Quiet    bool   `help:"Show nothing while it runs."`
+}
+
+type upCmd struct {
+	programs
+	Gateways int           `help:"Number of gateways." default:"3"`
+	Backends int           `help:"Number of backends." default:"6"`
+	Rate     float64       `help:"Requests a second." default:"300"`
+	For      time.Duration `help:"End after this time; without it, at Ctrl-C."`
+	Seed     uint64        `help:"Of all that is drawn." default:"1"`
+}
+
+// longUp is for how long a fleet runs that nobody ends.
+const longUp = 24 * time.Hour
+
+func (c *upCmd) Run(ctx context.Context, out io.Writer) error {
+	s := scenario.Default()
+	s.Name, s.Seed = "up", c.Seed
+	s.Fleet.Gateways, s.Fleet.Backends = c.Gateways, c.Backends
+	for i := range s.Plans {
+		s.Plans[i].Spread = min(s.Plans[i].Spread, c.Gateways)
+	}
+	// More load has more customers, each with the quota that it would have.
+	more := c.Rate / s.Load.RequestsPerS
+	for i := range s.Plans {
+		s.Plans[i].Customers = max(1, int(float64(s.Plans[i].Customers)*more))
+	}
+	s.Load.RequestsPerS = c.Rate
+	s.Duration = scenario.Duration(c.For)
+	if c.For == 0 {
+		s.Duration = scenario.Duration(longUp)
+	}
+	if problems := s.Check(); len(problems) > 0 {
+		var all []error
+		for _, p := range problems {
+			all = append(all, p)
+		}
+		return errors.Join(all...)
+	}
+	fmt.Fprintf(out, "%d gateways and %d list services before %d emulated backends, %.0f requests a second; Ctrl-C ends it\n",
+		s.Fleet.Gateways, s.Fleet.ListServices, s.Fleet.Backends, s.Load.RequestsPerS)
+	return c.run(ctx, &s, out)
+}
+
+type playCmd struct {
+	programs
+	Scenario string  `arg:"" help:"A file, or the name of a scenario that ships: ${scenarios}."`
+	Seed     *uint64 `help:"Another seed than the scenario's."`
+}
+
+func (c *playCmd) Run(ctx context.Context, out io.Writer) error {
+	s, err := read(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if c.Seed != nil {
+		s.Seed = *c.Seed
+	}
+	return c.run(ctx, s, out)
+}
+
+// read reads a scenario that ships, or a file.
+func read(name string) (*scenario.Scenario, error) {
+	if slices.Contains(scenarios.Names(), name) {
+		text, err := scenarios.Text(name)
+		if err != nil {
+			return nil, err
+		}
+		return scenario.Parse(name+".toml", text)
+	}
+	return scenario.Read(name)
+}
+
+// ending is an error with the status that the command ends with.
+type ending struct {
+	status int
+	text   string
+}
+
+func (e ending) Error() string { return e.text }
+
+// beside finds a daemon in the folder of this program.
+func beside(path *string, name string) error {
+	if *path == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		*path = filepath.Join(filepath.Dir(self), name)
+	}
+	if _, err := os.Stat(*path); err != nil {
+		return fmt.Errorf("the program %s: %w (build all with: go build -o bin/ ./cmd/...)", name, err)
+	}
+	return nil
+}
+
+func (c *programs) run(ctx context.Context, s *scenario.Scenario, out io.Writer) (err error) {
+	if err := play.Fits(s); err != nil {
+		return err
+	}
+	if err := beside(&c.Gateway, "gateway"); err != nil {
+		return err
+	}
+	if err := beside(&c.Registry, "registry"); err != nil {
+		return err
+	}
+	if c.Dir == "" {
+		if c.Dir, err = os.MkdirTemp("", "dunlintray-"); err != nil {
+			return err
+		}
+		defer func() {
+			if err == nil {
+				os.RemoveAll(c.Dir)
+			} else {
+				fmt.Fprintln(out, "logs are in", c.Dir)
+			}
+		}()
+	}
+	o := play.Options{Gateway: c.Gateway, Registry: c.Registry, Dir: c.Dir}
+	if !c.Quiet {
+		o.Live = out
+	}
+	result, err := play.Run(ctx, s, o)
+	if errors.Is(err, context.Canceled) {
+		return errors.New("ended before all gateways were ready")
+	}
+	if err != nil {
+		return err
+	}
+	if err := c.write(result, out); err != nil {
+		return err
+	}
+	result.Report(out)
+	switch {
+	case len(result.Violations) > 0:
+		return ending{exitBroken, "rules were broken"}
+	case result.Late != "":
+		return ending{exitLate, "this play does not count: " + result.Late}
+	}
+	return nil
+}
+
+func (c *programs) write(result *play.Result, out io.Writer) error {
+	switch c.JSON {
+	case "":
+		return nil
+	case "-":
+		return result.JSON(out)
+	}
+	f, err := os.Create(c.JSON)
+	if err != nil {
+		return err
+	}
+	return errors.Join(result.JSON(f), f.Close())
+}
+
+type configCmd struct {
+	Check checkCmd `cmd:"" help:"Check a scenario; nothing is started."`
+	Print printCmd `cmd:"" help:"Print a scenario with all that it leaves out, or what a process of it is told."`
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The scenario."`
+}
+
+func (c *checkCmd) Run(out io.Writer) error {
+	s, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	if err := play.Fits(s); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, c.File, "is good")
+	return nil
+}
+
+type printCmd struct {
+	Scenario string `arg:"" optional:"" help:"A scenario; without it, what up plays."`
+	Gateway  *int   `help:"The configuration of this gateway, as JSON."`
+	Faults   bool   `help:"The kinds of faults that a scenario can have."`
+}
+
+func (c *printCmd) Run(out io.Writer) error {
+	d := scenario.Default()
+	s := &d
+	if c.Scenario != "" {
+		var err error
+		if s, err = read(c.Scenario); err != nil {
+			return err
+		}
+	}
+	switch {
+	case c.Faults:
+		for _, name := range scenario.KindNames() {
+			k := scenario.Kinds[name]
+			size := ""
+			if k.Size != "" {
+				size = "; size: " + k.Size
+			}
+			fmt.Fprintf(out, "%-15s %s%s\n", name, k.What, size)
+		}
+		return nil
+	case c.Gateway != nil:
+		if *c.Gateway < 0 || *c.Gateway >= s.Fleet.Gateways {
+			return fmt.Errorf("--gateway: %d is not from 0 to %d", *c.Gateway, s.Fleet.Gateways-1)
+		}
+		text, err := s.GatewayConfig(*c.Gateway, scenario.Addresses{Listen: "127.0.0.1:8081", Control: "127.0.0.1:8082", Counter: "127.0.0.1:6400", Discovery: "127.0.0.1:8500"}, nil)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%s\n", text)
+		return err
+	}
+	return toml.NewEncoder(out).Encode(s)
+}
+
+type callCmd struct {
+	Address string `arg:"" help:"The control address, as 127.0.0.1:8082."`
+	What    string `arg:"" help:"ready, counters, where, online or offline." enum:"ready,counters,where,online,offline"`
+	Backend string `arg:"" optional:"" help:"For online and offline: the backend's id."`
+}
+
+const callWait = 5 * time.Second
+
+func (c *callCmd) Run(ctx context.Context, out io.Writer) error {
+	byHand := c.What == "online" || c.What == "offline"
+	if byHand != (c.Backend != "") {
+		return fmt.Errorf("%s: a backend's id goes with online and offline, and with nothing else", c.What)
+	}
+	method, path := http.MethodGet, "/control/"+c.What
+	if byHand {
+		method, path = http.MethodPost, "/control/backends/"+url.PathEscape(c.Backend)+"/"+c.What
+	}
+	ctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	const most = 1 << 20
+	if _, err := io.Copy(out, io.LimitReader(resp.Body, most)); err != nil {
+		return err
+	}
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("no: %s", resp.Status)
+	}
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run(out io.Writer) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this program was built without its version")
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.time" || s.Key == "vcs.modified" && s.Value == "true" {
+			version += " " + strings.TrimPrefix(s.Key, "vcs.") + "=" + s.Value
+		}
+	}
+	_, err := fmt.Fprintln(out, "dunlintray", version, info.GoVersion)
+	return err
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, stop) // a second Ctrl-C ends the program at once
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run runs the command and returns the status that it ends with.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	var c cli
+	exited := -1
+	parser, err := kong.New(&c, kong.Name("dunlintray"), kong.Description("A fleet of gateways on one machine, and calls to those that run."),
+		kong.Writers(out, errs), kong.Exit(func(status int) { exited = status }), kong.Vars{"scenarios": strings.Join(scenarios.Names(), ", ")},
+		kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(out, (*io.Writer)(nil)))
+	if err != nil {
+		fmt.Fprintln(errs, "dunlintray:", err)
+		return 1
+	}
+	k, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited // help was asked for
+	}
+	if err == nil {
+		err = k.Run()
+	}
+	var end ending
+	switch {
+	case errors.As(err, &end):
+		fmt.Fprintln(errs, "dunlintray:", err)
+		return end.status
+	case err != nil:
+		fmt.Fprintln(errs, "dunlintray:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/dunlintray/main_test.go
@@ -0,0 +1,356 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunlintray/scenarios"
+)
+
+// bin is where the daemons are that the tests run.
+var bin string
+
+// TestMain builds the daemons, and lets the test binary stand in for a gateway
+// with a defect.
+func TestMain(m *testing.M) {
+	if defect := os.Getenv("GATEWAY_DOUBLE"); defect != "" {
+		double(defect)
+		return
+	}
+	os.Exit(func() int {
+		var err error
+		if bin, err = os.MkdirTemp("", "dunlintray-test-"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(bin)
+		build := exec.Command("go", "build", "-o", bin, "../gateway", "../registry")
+		if text, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// double is a gateway that refuses everything, but for its defect.
+func double(defect string) {
+	var config struct {
+		Listen string
+		Known  struct{ Instances []struct{ HostPort string } }
+	}
+	text, err := os.ReadFile(os.Getenv("EDGE_CONFIG"))
+	if err != nil || json.Unmarshal(text, &config) != nil || defect == "dies" {
+		fmt.Fprintln(os.Stderr, "no gateway")
+		os.Exit(1)
+	}
+	if defect == "hangs" {
+		signal.Ignore(syscall.SIGTERM)
+	}
+	l, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		os.Exit(1)
+	}
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, req.Body)
+				switch {
+				case strings.HasPrefix(req.URL.Path, "/health"):
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					continue
+				case defect == "makes up":
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+					continue
+				case defect == "answers twice":
+					io.WriteString(c, refusal)
+				case defect == "strays":
+					if resp, err := http.Get("http://" + config.Known.Instances[0].HostPort + "/browse"); err == nil {
+						resp.Body.Close()
+					}
+				case defect == "drops":
+					return
+				}
+				io.WriteString(c, refusal)
+			}
+		}()
+	}
+}
+
+// small is a fleet that the slowest machine can play.
+const small = `
+name = "small"
+duration = "3s"
+[fleet]
+gateways = 2
+backends = 3
+list_services = %d
+[load]
+requests_per_s = 60
+[[class]]
+name = "browse"
+share = 1.0
+worth = 1.0
+aim = "500ms"
+deadline = "1500ms"
+effect = "repeatable"
+work = "5ms"
+units = 1
+answer_bytes = 100000
+[[plan]]
+name = "basic"
+share = 1.0
+customers = 10
+price = 1.0
+rate = 20.0
+burst = 20.0
+spread = 2
+%s
+`
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "scenario.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// command runs the command, and returns what it wrote.
+func command(ctx context.Context, args ...string) (status int, text string) {
+	var out syncBuffer
+	status = run(ctx, args, &out, &out)
+	return status, out.String()
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// lines are the results by their kind.
+func lines(t *testing.T, path string) map[string][]map[string]any {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := map[string][]map[string]any{}
+	for line := range strings.Lines(string(text)) {
+		var l map[string]any
+		if err := json.Unmarshal([]byte(line), &l); err != nil {
+			t.Fatalf("%v: %s", err, line)
+		}
+		all[l["kind"].(string)] = append(all[l["kind"].(string)], l)
+	}
+	return all
+}
+
+// processes are those whose configuration lies below dir.
+func processes(t *testing.T, dir string) (all []string) {
+	t.Helper()
+	entries, err := os.ReadDir("/proc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if text, err := os.ReadFile("/proc/" + e.Name() + "/cmdline"); err == nil && bytes.Contains(text, []byte(dir)) {
+			all = append(all, e.Name())
+		}
+	}
+	return all
+}
+
+// Two fleets of real processes play side by side through a kill, a restart, a
+// freeze and a replacement, with list services and without. No rule is broken,
+// most is served, and nothing is left.
+func TestPlay(t *testing.T) {
+	const faults = `
+[[fault]]
+kind = "replace"
+at = "500ms"
+for = "500ms"
+part = 0.3
+[[fault]]
+kind = "kill"
+at = "1s"
+for = "300ms"
+part = 0.5
+[[fault]]
+kind = "vanish"
+at = "2s"
+for = "500ms"
+part = 0.3
+[[fault]]
+kind = "freeze"
+at = "2500ms"
+for = "200ms"
+part = 0.5
+[[fault]]
+kind = "rude"
+at = "1s"
+for = "1s"
+size = 20.0
+`
+	var wg sync.WaitGroup
+	for services := range 3 {
+		dir := t.TempDir()
+		scenario := file(t, fmt.Sprintf(small, services, faults))
+		wg.Go(func() {
+			results := filepath.Join(dir, "results")
+			status, text := command(t.Context(), "play", scenario, "--gateway", bin+"/gateway", "--registry", bin+"/registry", "--dir", dir, "--json", results)
+			// A machine that is too slow is not the program's fault; a broken rule is.
+			if status != 0 && status != exitLate || !strings.Contains(text, "no rule was broken") {
+				t.Errorf("%d list services: ended with %d:\n%s", services, status, text)
+			}
+			all := lines(t, results)
+			if served := all["total"][0]["ended"].(map[string]any)["served"].(float64); served < 50 || len(all["gateway"]) != 2 || len(all["costs"]) != 1 || len(all["verdict"]) != 1 {
+				t.Errorf("%d list services: %v", services, all)
+			}
+			if left := processes(t, dir); len(left) > 0 {
+				t.Errorf("%v are left", left)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Gateways that break rules are named on real sockets too.
+func TestDoubles(t *testing.T) {
+	for defect, want := range map[string]string{"hangs": "stop: ", "makes up": "answer: ", "answers twice": "twice: ", "strays": "unknown: ", "drops": "door: ", "dies": "ended at its start; it said:\nno gateway"} {
+		t.Setenv("GATEWAY_DOUBLE", defect)
+		dir := t.TempDir()
+		status, text := command(t.Context(), "play", file(t, fmt.Sprintf(strings.Replace(small, "3s", "1s", 1), 0, "")), "--gateway", os.Args[0], "--registry", bin+"/registry", "--dir", dir, "--quiet")
+		if status != exitBroken && defect != "dies" || status == 0 || !strings.Contains(text, want) {
+			t.Errorf("%s: ended with %d:\n%s", defect, status, text)
+		}
+		if left := processes(t, dir); len(left) > 0 {
+			t.Errorf("%s: %v are left", defect, left)
+		}
+	}
+}
+
+// A fleet that is up ends when it is told to, whatever it is doing, and leaves no
+// process.
+func TestUpEndsCleanly(t *testing.T) {
+	for _, until := range []string{"Ctrl-C ends it", "served"} {
+		dir := t.TempDir()
+		ctx, stop := context.WithCancel(t.Context())
+		var out syncBuffer
+		ended := make(chan int)
+		go func() {
+			ended <- run(ctx, []string{"up", "--gateways", "2", "--rate", "50", "--gateway", bin + "/gateway", "--registry", bin + "/registry", "--dir", dir}, &out, &out)
+		}()
+		for end := time.Now().Add(30 * time.Second); !strings.Contains(out.String(), until) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+		if status := <-ended; status != 0 && status != exitLate && until == "served" {
+			t.Errorf("ended with %d:\n%s", status, &out)
+		}
+		if left := processes(t, dir); len(left) > 0 {
+			t.Errorf("%v are left", left)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	var asked []string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.Method+" "+r.URL.Path)
+		if strings.Contains(r.URL.Path, "gone") {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		io.WriteString(w, "said\n")
+	}))
+	defer s.Close()
+	address := strings.TrimPrefix(s.URL, "http://")
+	bad := file(t, "colour = 1")
+	for _, c := range []struct {
+		args   string
+		status int
+		want   string
+	}{
+		{"--help", 0, "a whole fleet"},
+		{"up --help", 0, "--rate"},
+		{"version", 0, "dunlintray"},
+		{"dance", 1, "dance"},
+		{"up --rate=-1", 1, "load.requests_per_s"},
+		{"up --rate 1e6", 1, "asks more than this machine has"},
+		{"play " + bad, 1, bad + ":1: colour: no such key"},
+		{"play nowhere.toml", 1, "no such file"},
+		{"play calm --gateway /nowhere", 1, "build all with"},
+		{"config check " + bad, 1, ":1: colour"},
+		{"config print", 0, "[[class]]"},
+		{"config print calm --gateway 1", 0, `"rank": 1`},
+		{"config print calm --gateway 9", 1, "not from 0 to 2"},
+		{"config print --faults", 0, "vanish"},
+		{"call " + address + " counters", 0, "said"},
+		{"call " + address + " offline b-1", 0, "said"},
+		{"call " + address + " online gone", 1, "no: 404"},
+		{"call " + address + " offline", 1, "a backend's id"},
+		{"call 127.0.0.1:1 ready", 1, "refused"},
+	} {
+		status, text := command(t.Context(), strings.Fields(c.args)...)
+		if status != c.status || !strings.Contains(text, c.want) {
+			t.Errorf("%s: ended with %d, not %d:\n%s", c.args, status, c.status, text)
+		}
+	}
+	if got := strings.Join(asked, ", "); got != "GET /control/counters, POST /control/backends/b-1/offline, POST /control/backends/gone/online" {
+		t.Error(got)
+	}
+}
+
+// The scenarios that ship can be played, and are listed.
+func TestShippedScenarios(t *testing.T) {
+	names := scenarios.Names()
+	if len(names) < 7 {
+		t.Errorf("%v", names)
+	}
+	for _, name := range names {
+		s, err := read(name)
+		if err != nil || s.Name != name {
+			t.Errorf("%s: %+v %v", name, s, err)
+		}
+	}
+}
--- a/cmd/gateway/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// The example that ships is good, and a check says so without starting anything.
+func TestCheck(t *testing.T) {
+	cmd, stderr, _ := launch(t, "{")
+	for path, want := range map[string]bool{"../../docs/examples/gateway.json": true, cmd.Env[len(cmd.Env)-1][len("EDGE_CONFIG="):]: false} {
+		check := exec.Command(os.Args[0], "--check", "--config", path)
+		check.Env, check.Stderr = cmd.Env, stderr
+		if err := check.Run(); (err == nil) != want {
+			t.Errorf("%s: %v\n%s", path, err, stderr)
+		}
+	}
+}
+
 func TestSigterm(t *testing.T) {
 	discovery, asked := registry(t)
 	cmd, stderr, _ := launch(t, config(discovery))
--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -111,6 +111,9 @@
 }
 
 func TestBadConfigurations(t *testing.T) {
+	if _, err := readConfig("../../docs/examples/registry.json"); err != nil {
+		t.Error(err)
+	}
 	for _, text := range []string{`{`, `{}`, `{"listen":"127.0.0.1"}`, `{"listen":"127.0.0.1:1","colour":1}`, `{"listen":"127.0.0.1:1"}{}`,
 		`{"listen":"127.0.0.1:1","lease_ms":0}`, `{"listen":"127.0.0.1:1","writer":"x"}`, `{"listen":"127.0.0.1:1","limits":{"watchers":0}}`,
 		`{"listen":"127.0.0.1:1","limits":{"watchers":2000}}`, `{"listen":"127.0.0.1:1","limits":{"lists_per_s":-1}}`} {
--- /dev/null
+++ b/internal/play/machine_test.go
@@ -0,0 +1,55 @@
+package play
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"dunlintray/internal/scenario"
+)
+
+// A scenario that asks too much is refused with what it asks.
+func TestFits(t *testing.T) {
+	plenty := machine{cores: 64, memoryMB: 1 << 20, sockets: 1 << 20}
+	for _, c := range []struct {
+		change func(*machine)
+		want   string // "" where it fits
+	}{
+		{func(*machine) {}, ""},
+		{func(m *machine) { m.cores = 1 }, "cores for 900 requests a second"},
+		{func(m *machine) { m.memoryMB = 300 }, "MB of memory for 3 gateways"},
+		{func(m *machine) { m.sockets = 500 }, "descriptors, and the limit is 500"},
+	} {
+		m := plenty
+		c.change(&m)
+		s := scenario.Default()
+		s.Load.Shape = []scenario.Step{{Times: 1}, {At: 1, Times: 1.5}}
+		s.Faults = []scenario.Fault{{Kind: "burst", Size: 2}, {Kind: "rude", Size: 10}}
+		err := m.fits(&s)
+		if (c.want == "") != (err == nil) || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%+v: %v", m, err)
+		}
+	}
+	if m, err := thisMachine(); err != nil || m.cores == 0 || m.memoryMB == 0 || m.sockets == 0 {
+		t.Errorf("%+v %v", m, err)
+	}
+}
+
+// Where addresses are taken, others are found, or it is said that none were.
+func TestFindPlace(t *testing.T) {
+	l, err := net.Listen("tcp", place{200}.registry(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	draws := []int{200 - firstNet, 200 - firstNet, 201 - firstNet}
+	p, err := findPlace(2, 1, func(int) int { d := draws[0]; draws = draws[1:]; return d })
+	if err != nil || p.net != 201 {
+		t.Errorf("%+v %v", p, err)
+	}
+	if p, err := findPlace(2, 1, func(int) int { return 200 - firstNet }); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("%+v %v", p, err)
+	}
+}
