--- a/internal/play/machine_test.go
+++ b/internal/play/machine_test.go
@@ -45,11 +45,15 @@
 	}
 	defer l.Close()
 	draws := []int{200 - firstNet, 200 - firstNet, 201 - firstNet}
-	p, err := findPlace(2, 1, func(int) int { d := draws[0]; draws = draws[1:]; return d })
+	p, claim, err := findPlace(2, 1, func(int) int { d := draws[0]; draws = draws[1:]; return d })
 	if err != nil || p.net != 201 {
-		t.Errorf("%+v %v", p, err)
+		t.Fatalf("%+v %v", p, err)
 	}
-	if p, err := findPlace(2, 1, func(int) int { return 200 - firstNet }); !errors.Is(err, syscall.EADDRINUSE) {
-		t.Errorf("%+v %v", p, err)
+	defer claim.Close()
+	// What another run has claimed is taken, also before it has started anything.
+	for _, taken := range []int{200, 201} {
+		if p, _, err := findPlace(2, 1, func(int) int { return taken - firstNet }); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("%+v %v", p, err)
+		}
 	}
 }
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -67,6 +68,7 @@
 	o       Options
 	w       *world.World
 	place   place
+	claim   net.Listener // on the place
 	epoch   time.Time
 	ctx     context.Context // ends with the play
 	wg      sync.WaitGroup
@@ -158,7 +160,7 @@
 // start starts everything and waits until all gateways take clients.
 func (e *engine) start(ctx context.Context) error {
 	var err error
-	if e.place, err = findPlace(e.s.Fleet.Gateways, e.s.Fleet.ListServices, rand.IntN); err != nil {
+	if e.place, e.claim, err = findPlace(e.s.Fleet.Gateways, e.s.Fleet.ListServices, rand.IntN); err != nil {
 		return err
 	}
 	if err := e.startServices(ctx); err != nil {
@@ -525,6 +527,9 @@
 	if e.relays != nil {
 		e.relays.close()
 	}
+	if e.claim != nil {
+		e.claim.Close()
+	}
 	e.http.CloseIdleConnections()
 	e.wg.Wait()
 }
--- a/internal/play/processes.go
+++ b/internal/play/processes.go
@@ -200,6 +200,9 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", p.net, block+n/200, 1+n%200, port)
 }
 
+// claim is held for as long as a run lasts; who has it has the place.
+func (p place) claim() string { return p.in(255, 0, 8080) }
+
 func (p place) gateway(n int) string              { return p.in(16, n, 8081) }
 func (p place) control(n int) string              { return p.in(16, n, 8082) }
 func (p place) registry(n int) string             { return p.in(1, n, 8500) }
@@ -218,9 +221,9 @@
 	errTaken           = "the addresses of %d runs in 127.0.0.0/8 are taken; the last: %w"
 )
 
-// findPlace finds addresses of which the processes' are free. Those that this
+// findPlace claims addresses of which the processes' are free. Those that this
 // program listens on itself it takes later, or fails.
-func findPlace(gateways, services int, random func(int) int) (place, error) {
+func findPlace(gateways, services int, random func(int) int) (place, net.Listener, error) {
 	var last error
 	for range placesTried {
 		p := place{firstNet + random(pastLast-firstNet)}
@@ -231,14 +234,18 @@
 		for n := range services {
 			addresses = append(addresses, p.registry(n), p.registryControl(n))
 		}
-		if last = free(addresses); last == nil {
-			return p, nil
+		var claim net.Listener
+		if claim, last = net.Listen("tcp", p.claim()); last == nil {
+			if last = free(addresses); last == nil {
+				return p, claim, nil
+			}
+			claim.Close()
 		}
 		if !errors.Is(last, syscall.EADDRINUSE) {
-			return place{}, last
+			return place{}, nil, last
 		}
 	}
-	return place{}, fmt.Errorf("the addresses of %d runs in 127.0.0.0/8 are taken; the last: %w", placesTried, last)
+	return place{}, nil, fmt.Errorf("the addresses of %d runs in 127.0.0.0/8 are taken; the last: %w", placesTried, last)
 }
 
 func free(addresses []string) error {
