--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -108,17 +108,40 @@
 	for _, p := range s.Plans {
 		t.plans = append(t.plans, Line{Kind: "plan", Name: p.Name, latency: histogram()})
 	}
-	for at := time.Duration(0); at < s.Duration.D(); at += Window {
-		t.windows = append(t.windows, Line{Kind: "window", Name: at.String(), latency: histogram()})
-	}
 	return t
 }
 
+// openWindows is how many windows keep their latencies one by one; of older ones,
+// in which nothing is under way any more, only what was made of them.
+const openWindows = 24
+
+// window is that of a moment of the day.
+func (t *Tally) window(at time.Duration) *Line {
+	n := int(at / Window)
+	for len(t.windows) <= n {
+		t.windows = append(t.windows, Line{Kind: "window", Name: (time.Duration(len(t.windows)) * Window).String(), latency: histogram()})
+		if old := len(t.windows) - 1 - openWindows; old >= 0 {
+			t.windows[old].seal()
+		}
+	}
+	return &t.windows[n]
+}
+
+// seal makes of the latencies what is told of them.
+func (l *Line) seal() {
+	if l.latency == nil {
+		return
+	}
+	ms := func(us int64) float64 { return float64(us) / 1e3 }
+	l.P50Ms, l.P99Ms, l.MaxMs = ms(l.latency.ValueAtQuantile(50)), ms(l.latency.ValueAtQuantile(99)), ms(l.latency.Max())
+	l.latency = nil
+}
+
 func (t *Tally) each(at time.Duration, class, plan int, f func(*Line)) {
 	f(&t.total)
 	f(&t.classes[class])
 	f(&t.plans[plan])
-	f(&t.windows[min(int(at/Window), len(t.windows)-1)])
+	f(t.window(at))
 }
 
 // Offered adds a client's wish, made at a moment of the day.
@@ -132,7 +155,7 @@
 	t.each(at, class, plan, func(l *Line) {
 		l.Counts[o]++
 		l.Earned += worth
-		if o == Served || o == Late {
+		if (o == Served || o == Late) && l.latency != nil {
 			l.latency.RecordValue(max(1, after.Microseconds())) // beyond two minutes nothing is served
 		}
 	})
@@ -172,8 +195,7 @@
 		for o, n := range l.Counts {
 			l.Ended[Outcome(o).String()] = n
 		}
-		ms := func(us int64) float64 { return float64(us) / 1e3 }
-		l.P50Ms, l.P99Ms, l.MaxMs = ms(l.latency.ValueAtQuantile(50)), ms(l.latency.ValueAtQuantile(99)), ms(l.latency.Max())
+		l.seal()
 	}
 	return all
 }
@@ -203,7 +225,11 @@
 func (t *Tally) Table(w io.Writer) {
 	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "\tworth\tasked\tserved\tlate\trefused\tfailed\tleft\tlost\tp50\tp99\tmax")
-	for _, l := range t.Lines() {
+	lines := t.Lines()
+	if many := len(t.windows) - openWindows; many > 0 {
+		lines = append(lines[:len(lines)-len(t.windows)], lines[len(lines)-openWindows:]...)
+	}
+	for _, l := range lines {
 		fmt.Fprintf(tab, "%s %s\t%.3f\t%d", l.Kind, l.Name, l.Share(), l.Asked)
 		for _, n := range l.Counts {
 			fmt.Fprintf(tab, "\t%d", n)
