--- /dev/null
+++ b/internal/wal/frame.go
@@ -0,0 +1,177 @@
+package wal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+)
+
+// A file is a header and frames. All numbers are little-endian.
+//
+//	header: magic 8 | format u16 | 0 u16 | kind 8 | number u64 | CRC32C u32 of what stands before
+//	frame:  length u32 of the body | first sequence u64 | records u32 | CRC32C u32 of what stands before and the body | body
+//	body:   for each record, length u32 | bytes
+//
+// A frame is written in one piece and made to last before the next is begun, so of
+// a log's frames only the last can be torn, and it holds nothing that anybody was
+// told of. A frame without records ends a file that was closed.
+const (
+	format      = 1
+	headerBytes = 32
+	frameBytes  = 20
+	mostFrame   = 8 << 20 // bytes of a body
+)
+
+var (
+	logMagic   = [8]byte{'d', 'l', 'n', 't', '-', 'l', 'o', 'g'}
+	snapMagic  = [8]byte{'d', 'l', 'n', 't', '-', 's', 'n', 'p'}
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Damage is a part of a file that is not as it was written.
+type Damage struct {
+	File   string
+	Offset int64
+	Text   string
+}
+
+func (d *Damage) Error() string { return fmt.Sprintf("%s at byte %d: %s", d.File, d.Offset, d.Text) }
+
+// errFormat is a file of a program that is newer than this one.
+var errFormat = errors.New("of a later format than this program knows")
+
+func header(magic [8]byte, kind string, number uint64) []byte {
+	b := make([]byte, 0, headerBytes)
+	b = append(b, magic[:]...)
+	b = binary.LittleEndian.AppendUint16(b, format)
+	b = binary.LittleEndian.AppendUint16(b, 0)
+	var k [8]byte
+	copy(k[:], kind)
+	b = append(b, k[:]...)
+	b = binary.LittleEndian.AppendUint64(b, number)
+	return appendSum(b)
+}
+
+// parseHeader reads a header. An error of another kind or format is final; any
+// other says that the header is not whole.
+func parseHeader(b []byte, magic [8]byte, kind string) (number uint64, err error) {
+	if len(b) < headerBytes {
+		return 0, errors.New("the header is cut short")
+	}
+	if crc32.Checksum(b[:headerBytes-4], castagnoli) != binary.LittleEndian.Uint32(b[headerBytes-4:]) {
+		return 0, errors.New("the header's checksum is wrong")
+	}
+	if !bytes.Equal(b[:8], magic[:]) {
+		return 0, errors.New("not such a file")
+	}
+	if binary.LittleEndian.Uint16(b[8:]) != format {
+		return 0, errFormat
+	}
+	if have := string(bytes.TrimRight(b[12:20], "\x00")); have != kind {
+		return 0, &wrongKind{have, kind}
+	}
+	return binary.LittleEndian.Uint64(b[20:]), nil
+}
+
+type wrongKind struct{ have, want string }
+
+func (w *wrongKind) Error() string {
+	return fmt.Sprintf("the folder is of %q, not of %q", w.have, w.want)
+}
+
+// appendFrame writes a frame with records, or one that ends a file.
+func appendFrame(b []byte, first uint64, records [][]byte) []byte {
+	start := len(b)
+	length := 0
+	for _, r := range records {
+		length += 4 + len(r)
+	}
+	b = binary.LittleEndian.AppendUint32(b, uint32(length))
+	b = binary.LittleEndian.AppendUint64(b, first)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(records)))
+	sum := crc32.Checksum(b[start:], castagnoli)
+	b = binary.LittleEndian.AppendUint32(b, 0)
+	body := len(b)
+	for _, r := range records {
+		b = binary.LittleEndian.AppendUint32(b, uint32(len(r)))
+		b = append(b, r...)
+	}
+	binary.LittleEndian.PutUint32(b[body-4:], crc32.Update(sum, castagnoli, b[body:]))
+	return b
+}
+
+// frame is one as it was read.
+type frame struct {
+	first   uint64
+	records [][]byte
+	size    int64
+}
+
+var errFrame = errors.New("no whole frame")
+
+// readFrame reads the next frame. io.EOF is the end of the file, errFrame what is
+// no frame; any other error is the file system's.
+func readFrame(in *bufio.Reader) (frame, error) {
+	var head [frameBytes]byte
+	switch _, err := io.ReadFull(in, head[:]); {
+	case err == io.EOF:
+		return frame{}, io.EOF
+	case err == io.ErrUnexpectedEOF:
+		return frame{}, errFrame
+	case err != nil:
+		return frame{}, err
+	}
+	length := binary.LittleEndian.Uint32(head[:])
+	count := binary.LittleEndian.Uint32(head[12:])
+	if length > mostFrame || count > length/4 {
+		return frame{}, errFrame
+	}
+	body := make([]byte, length)
+	switch _, err := io.ReadFull(in, body); {
+	case err == io.EOF || err == io.ErrUnexpectedEOF:
+		return frame{}, errFrame
+	case err != nil:
+		return frame{}, err
+	}
+	sum := crc32.Update(crc32.Checksum(head[:frameBytes-4], castagnoli), castagnoli, body)
+	if sum != binary.LittleEndian.Uint32(head[frameBytes-4:]) {
+		return frame{}, errFrame
+	}
+	f := frame{first: binary.LittleEndian.Uint64(head[4:]), size: frameBytes + int64(length)}
+	for range count {
+		if len(body) < 4 || uint32(len(body)-4) < binary.LittleEndian.Uint32(body) {
+			return frame{}, errFrame
+		}
+		n := 4 + binary.LittleEndian.Uint32(body)
+		f.records = append(f.records, body[4:n:n])
+		body = body[n:]
+	}
+	if len(body) > 0 {
+		return frame{}, errFrame
+	}
+	return f, nil
+}
+
+// anyFrame says whether a frame that is not before sequence begins anywhere in
+// what is left of a file.
+func anyFrame(rest []byte, sequence uint64) bool {
+	for at := 0; at+frameBytes <= len(rest); at++ {
+		length := binary.LittleEndian.Uint32(rest[at:])
+		if length > mostFrame || int(length) > len(rest)-at-frameBytes || binary.LittleEndian.Uint64(rest[at+4:]) < sequence {
+			continue
+		}
+		if f, err := readFrame(bufio.NewReader(bytes.NewReader(rest[at : at+frameBytes+int(length)]))); err == nil && f.first >= sequence {
+			return true
+		}
+	}
+	return false
+}
+
+// appendSum puts the checksum behind what it is of.
+func appendSum(b []byte) []byte {
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
--- /dev/null
+++ b/internal/wal/recover.go
@@ -0,0 +1,280 @@
+package wal
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Names of the files in a folder.
+const (
+	lockName   = "lock"
+	logSuffix  = ".log"
+	snapSuffix = ".snap"
+	tempSuffix = ".tmp"
+)
+
+func logName(first uint64) string { return fmt.Sprintf("%016x%s", first, logSuffix) }
+func snapName(seq uint64) string  { return fmt.Sprintf("%016x%s", seq, snapSuffix) }
+
+// number reads a name that logName or snapName has made.
+func number(name, suffix string) (uint64, bool) {
+	var n uint64
+	digits, ok := strings.CutSuffix(name, suffix)
+	if !ok || len(digits) != 16 {
+		return 0, false
+	}
+	if _, err := fmt.Sscanf(digits, "%016x", &n); err != nil || fmt.Sprintf("%016x", n) != digits {
+		return 0, false
+	}
+	return n, true
+}
+
+// Visitor takes what a folder holds, in order: the records of the newest snapshot,
+// then those of the log behind it.
+type Visitor struct {
+	Snapshot func(record []byte) error
+	Record   func(sequence uint64, record []byte) error
+}
+
+// Recovery is what was found in a folder.
+type Recovery struct {
+	Snapshot        uint64 // the newest one's sequence; 0: none
+	SnapshotRecords int
+	SnapshotBytes   int64
+	Segments        int
+	Records         int // read from the log behind the snapshot
+	Bytes           int64
+	Last            uint64 // sequence
+	Closed          bool   // the log was closed, not cut off
+	CutFile         string // a torn end was cut here; empty: none was
+	CutAt           int64
+	CutBytes        int64
+	Dropped         []string // files that a crash had left and nobody needs
+	Took            time.Duration
+
+	segments []segment
+	snaps    []uint64
+}
+
+// segment is one file of the log.
+type segment struct {
+	first uint64
+	last  uint64 // below first: it has no record
+	size  int64  // of what is whole
+	ended bool   // by a frame that says so
+}
+
+// scan reads a folder without changing it.
+func scan(fs FS, kind string, v Visitor) (*Recovery, error) {
+	began := time.Now()
+	names, err := fs.List()
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names)
+	r := &Recovery{}
+	var logs, snaps []uint64
+	for _, name := range names {
+		if n, ok := number(name, logSuffix); ok {
+			logs = append(logs, n)
+		} else if n, ok := number(name, snapSuffix); ok {
+			snaps = append(snaps, n)
+		} else if strings.HasSuffix(name, tempSuffix) {
+			r.Dropped = append(r.Dropped, name)
+		} else if name != lockName {
+			return nil, fmt.Errorf("%s: no file of a log; is this another program's folder?", name)
+		}
+	}
+	r.snaps = snaps
+	if len(snaps) > 0 {
+		r.Snapshot = snaps[len(snaps)-1]
+		if err := r.readSnapshot(fs, kind, v); err != nil {
+			return nil, err
+		}
+	}
+	r.Last = r.Snapshot
+	for i, first := range logs {
+		newest := i == len(logs)-1
+		if !newest && logs[i+1] <= r.Snapshot+1 {
+			// The snapshot has all of it, and a crash came before its removal.
+			r.Dropped = append(r.Dropped, logName(first))
+			continue
+		}
+		if first > r.Last+1 {
+			return nil, &Damage{logName(first), 0, fmt.Sprintf("the records from %d to %d are missing", r.Last+1, first-1)}
+		}
+		if err := r.readSegment(fs, kind, first, newest, v); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range snaps[:max(0, len(snaps)-1)] {
+		r.Dropped = append(r.Dropped, snapName(n))
+	}
+	r.Segments = len(r.segments)
+	r.Took = time.Since(began)
+	return r, nil
+}
+
+func (r *Recovery) readSnapshot(fs FS, kind string, v Visitor) error {
+	name := snapName(r.Snapshot)
+	f, err := fs.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	in := bufio.NewReaderSize(f, 1<<16)
+	var head [headerBytes]byte
+	if n, err := io.ReadFull(in, head[:]); err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
+		return err
+	} else if seq, err := parseHeader(head[:n], snapMagic, kind); err != nil {
+		return headerError(name, err)
+	} else if seq != r.Snapshot {
+		return &Damage{name, 20, "its name is of another snapshot"}
+	}
+	r.SnapshotBytes = headerBytes
+	for {
+		f, err := readFrame(in)
+		switch {
+		case err == io.EOF || err == errFrame || err == nil && f.first != uint64(r.SnapshotRecords):
+			return &Damage{name, r.SnapshotBytes, "the snapshot does not go on here"}
+		case err != nil:
+			return err
+		}
+		r.SnapshotBytes += f.size
+		if len(f.records) == 0 { // its end
+			if _, err := in.ReadByte(); err != io.EOF {
+				return &Damage{name, r.SnapshotBytes, "something stands behind the end"}
+			}
+			return nil
+		}
+		for _, record := range f.records {
+			r.SnapshotRecords++
+			if err := v.Snapshot(record); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+		}
+	}
+}
+
+// headerError tells a header that is not to be read from one that is damaged.
+func headerError(name string, err error) error {
+	var kind *wrongKind
+	if errors.As(err, &kind) || errors.Is(err, errFormat) {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return &Damage{name, 0, err.Error()}
+}
+
+func (r *Recovery) readSegment(fs FS, kind string, first uint64, newest bool, v Visitor) error {
+	name := logName(first)
+	f, err := fs.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	in := bufio.NewReaderSize(f, 1<<16)
+	var head [headerBytes]byte
+	n, err := io.ReadFull(in, head[:])
+	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
+		return err
+	}
+	s := segment{first: first, last: first - 1, size: headerBytes}
+	number, err := parseHeader(head[:n], logMagic, kind)
+	if err != nil {
+		var wrong *wrongKind
+		if !newest || errors.As(err, &wrong) || errors.Is(err, errFormat) {
+			return headerError(name, err)
+		}
+		// The header lasts before anything is written behind it. If nothing is, the
+		// file was being made when the power went.
+		rest, err := io.ReadAll(io.MultiReader(bytes.NewReader(head[:n]), in))
+		if err != nil {
+			return err
+		}
+		if anyFrame(rest, first) {
+			return &Damage{name, 0, "the header is damaged"}
+		}
+		r.CutFile, r.CutAt, r.CutBytes = name, 0, int64(len(rest))
+		r.Dropped = append(r.Dropped, name)
+		return nil
+	}
+	if number != first {
+		return &Damage{name, 20, "its name is of another part of the log"}
+	}
+	for {
+		f, err := readFrame(in)
+		if err == io.EOF {
+			if !newest && !s.ended {
+				return &Damage{name, s.size, "this part of the log has no end"}
+			}
+			break
+		}
+		if err != nil && err != errFrame {
+			return err
+		}
+		if err == nil && (s.ended || f.first != s.last+1) {
+			return &Damage{name, s.size, "a frame stands here that does not belong here"}
+		}
+		if err == errFrame {
+			if err := r.tear(fs, name, newest, &s); err != nil {
+				return err
+			}
+			break
+		}
+		s.size += f.size
+		s.ended = len(f.records) == 0
+		for _, record := range f.records {
+			s.last++
+			if s.last <= r.Last {
+				continue // the snapshot has it
+			}
+			r.Last = s.last
+			r.Records++
+			if err := v.Record(s.last, record); err != nil {
+				return fmt.Errorf("%s at byte %d: %w", name, s.size-f.size, err)
+			}
+		}
+	}
+	r.Bytes += s.size
+	r.Closed = s.ended
+	r.segments = append(r.segments, s)
+	return nil
+}
+
+// tear decides what to think of a file that does not go on as it should: a torn
+// end of the newest is cut, everything else is damage.
+func (r *Recovery) tear(fs FS, name string, newest bool, s *segment) error {
+	f, err := fs.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := io.CopyN(io.Discard, f, s.size); err != nil {
+		return err
+	}
+	rest, err := io.ReadAll(f)
+	if err != nil {
+		return err
+	}
+	if !newest || s.ended || anyFrame(rest, s.last+1) {
+		return &Damage{name, s.size, fmt.Sprintf("the log does not go on here, and %d bytes stand behind", len(rest))}
+	}
+	r.CutFile, r.CutAt, r.CutBytes = name, s.size, int64(len(rest))
+	return nil
+}
+
+// Check reads a folder that no process has, without changing it.
+func Check(fs FS, kind string, v Visitor) (*Recovery, error) {
+	unlock, err := fs.Lock(lockName)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock.Close()
+	return scan(fs, kind, v)
+}
