--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -37,6 +37,7 @@
 	Play    playCmd    `cmd:"" help:"Play a scenario and judge it."`
 	Config  configCmd  `cmd:"" help:"Check and print configurations."`
 	Call    callCmd    `cmd:"" help:"Call a gateway's or a list service's control address."`
+	Data    dataCmd    `cmd:"" help:"Look at the data of list services that are stopped."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -265,7 +266,7 @@
 
 type callCmd struct {
 	Address string `arg:"" help:"The control address, as 127.0.0.1:8082."`
-	What    string `arg:"" help:"ready, counters, where, online or offline." enum:"ready,counters,where,online,offline"`
+	What    string `arg:"" help:"ready, counters, where, promote, online or offline." enum:"ready,counters,where,promote,online,offline"`
 	Backend string `arg:"" optional:"" help:"For online and offline: the backend's id."`
 }
 
@@ -277,6 +278,9 @@
 		return fmt.Errorf("%s: a backend's id goes with online and offline, and with nothing else", c.What)
 	}
 	method, path := http.MethodGet, "/control/"+c.What
+	if c.What == "promote" {
+		method = http.MethodPost
+	}
 	if byHand {
 		method, path = http.MethodPost, "/control/backends/"+url.PathEscape(c.Backend)+"/"+c.What
 	}
--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -20,6 +20,8 @@
 	"testing"
 	"time"
 
+	"dunlintray/internal/registry"
+	"dunlintray/internal/wal"
 	"dunlintray/scenarios"
 )
 
@@ -341,6 +343,48 @@
 	}
 }
 
+// A folder can be looked at and made smaller while nobody has it; damage is named.
+func TestData(t *testing.T) {
+	dir := t.TempDir()
+	log, _, err := registry.Open(wal.Dir(dir), 64<<20, registry.Limits{Lease: time.Second}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := func(what string) (int, string) { return command(t.Context(), "data", what, dir) }
+	if status, text := data("check"); status != 1 || !strings.Contains(text, "in use by process") {
+		t.Errorf("in use: %d %s", status, text)
+	}
+	for _, record := range []string{`{"begin":{"history":"h","version":7,"from":7,"epoch":1,"writer":true}}`,
+		`{"change":{"version":8,"instance":{"instanceId":"s-1","hostPort":"127.0.0.1:80","zone":"a","machineType":"m","cell":0,"lifecycle":"Ready","weight":1,"startedAtMs":5}}}`} {
+		if _, err := log.Append([][]byte{[]byte(record)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what, want string
+	}{{"check", "2 records behind the snapshot"}, {"dump", `{"sequence":2,"record":{"change":{"version":8,`}, {"compact", "snapshot at 2:"},
+		{"check", "snapshot at 2: 3 records"}, {"dump", `{"record":{"entry":{"version":8,`}} {
+		if status, text := data(c.what); status != 0 || !strings.Contains(text, c.want) {
+			t.Errorf("%s: %d\n%s", c.what, status, text)
+		}
+	}
+	snaps, _ := filepath.Glob(filepath.Join(dir, "*.snap"))
+	text, err := os.ReadFile(snaps[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text[60] ^= 1
+	os.WriteFile(snaps[0], text, 0o600)
+	for _, what := range []string{"check", "dump", "compact"} {
+		if status, text := data(what); status != 1 || !strings.Contains(text, filepath.Base(snaps[0])+" at byte 32") {
+			t.Errorf("%s: %d\n%s", what, status, text)
+		}
+	}
+}
+
 // The scenarios that ship can be played, and are listed.
 func TestShippedScenarios(t *testing.T) {
 	names := scenarios.Names()
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -1,9 +1,12 @@
 // Registry is one list service: the writer, or a follower that copies it.
+// "registry promote ADDRESS" makes the follower with that control address the
+// writer.
 // REGISTRY_CONFIG or --config names its configuration; SIGHUP makes it read that again,
 // SIGTERM let its watchers move on and end.
 package main
 
 import (
+	"bytes"
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
@@ -14,6 +17,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,6 +25,7 @@
 
 	"dunlintray/internal/command"
 	"dunlintray/internal/registry"
+	"dunlintray/internal/wal"
 )
 
 // config is what a list service is told.
@@ -29,13 +34,19 @@
 	Control string `json:"control"` // where operators call; empty where they do not
 	Writer  string `json:"writer"`  // whom to copy; empty: this is the writer
 	LeaseMs int    `json:"lease_ms"`
-	Limits  struct {
+	// DataDir is the folder that the list lasts in; empty: it does not.
+	DataDir string `json:"data_dir"`
+	// Peers are other list services that a writer asks, before it takes any write,
+	// whether one of them was put in its place.
+	Peers  []string `json:"peers"`
+	Limits struct {
 		Instances    int     `json:"instances"`
 		History      int     `json:"history"`
 		HistoryBytes int     `json:"history_bytes"`
 		Connections  int     `json:"connections"`
 		Watchers     int     `json:"watchers"`
 		ListsPerS    float64 `json:"lists_per_s"`
+		DataMB       int     `json:"data_mb"`
 	} `json:"limits"`
 }
 
@@ -57,6 +68,7 @@
 	c := &config{LeaseMs: 10_000}
 	c.Limits.Instances, c.Limits.History, c.Limits.HistoryBytes = 10_000, 20_000, 8<<20
 	c.Limits.Connections, c.Limits.Watchers, c.Limits.ListsPerS = 1024, 800, 100
+	c.Limits.DataMB = 512
 	d := json.NewDecoder(f)
 	d.DisallowUnknownFields()
 	if err := d.Decode(c); err != nil {
@@ -72,8 +84,12 @@
 }
 
 func (c *config) check() error {
-	for key, address := range map[string]string{"listen": c.Listen, "control": c.Control, "writer": c.Writer} {
-		if address == "" && key != "listen" {
+	addresses := map[string]string{"listen": c.Listen, "control": c.Control, "writer": c.Writer}
+	for n, peer := range c.Peers {
+		addresses[fmt.Sprintf("peers[%d]", n)] = peer
+	}
+	for key, address := range addresses {
+		if address == "" && (key == "control" || key == "writer") {
 			continue
 		}
 		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
@@ -86,6 +102,8 @@
 		return fmt.Errorf("lease_ms: %d is not from 500 to 600000", c.LeaseMs)
 	case l.Instances < 1 || l.History < 1 || l.HistoryBytes < 1024 || l.Connections < 2 || l.Watchers < 1 || !(l.ListsPerS >= 1):
 		return errors.New("limits: each has to allow something")
+	case l.DataMB < 32:
+		return fmt.Errorf("limits: data_mb: %d is under 32", l.DataMB)
 	case l.Watchers >= l.Connections:
 		return fmt.Errorf("limits: %d watchers leave no room for writers among %d connections", l.Watchers, l.Connections)
 	}
@@ -102,6 +120,9 @@
 }
 
 func start(ctx context.Context) error {
+	if len(os.Args) > 1 && os.Args[1] == "promote" {
+		return promote(ctx, os.Args[2:])
+	}
 	options, err := command.Parse("registry", "REGISTRY_CONFIG", os.Args[1:], os.Stderr)
 	if err != nil {
 		return err
@@ -141,9 +162,27 @@
 	var seed [32]byte
 	crand.Read(seed[:])
 	random := rand.New(rand.NewChaCha8(seed))
+	var data *wal.Log
+	var kept *registry.Store
+	if c.DataDir != "" {
+		if err := os.MkdirAll(c.DataDir, 0o700); err != nil {
+			return err
+		}
+		if data, kept, err = registry.Open(wal.Dir(c.DataDir), int64(c.Limits.DataMB)<<20, c.store(), 0); err != nil {
+			return fmt.Errorf("data_dir %s: %w", c.DataDir, err)
+		}
+	}
 	if c.Writer != "" {
 		slog.Info("starting", "listen", c.Listen, "writer", c.Writer)
-		f := registry.NewFollower(c.Writer, c.store(), c.serves(), began, random)
+		f := registry.NewFollower(c.Listen, c.Writer, kept, c.store(), c.serves(), began, random)
+		if data != nil {
+			if err := f.Keep(data, false); err != nil {
+				return err
+			}
+		}
+		if kept != nil && kept.Writes() {
+			slog.Warn("this follower was promoted and is the writer; its configuration still names another", "writer", c.Writer)
+		}
 		go reload(ctx, path, c, hangups, func(next *config) {
 			f.Retune(next.store(), next.serves())
 			if next.Writer != c.Writer {
@@ -152,17 +191,56 @@
 		})
 		return f.Serve(ctx, l, operators)
 	}
-	name := fmt.Sprintf("%016x", random.Uint64())
-	store, err := registry.NewStore(c.store(), registry.NewMemory(), name, began.UnixMilli(), 0)
-	if err != nil {
-		return err
+	store := kept
+	switch {
+	case kept == nil:
+		name := fmt.Sprintf("%016x", random.Uint64())
+		store = registry.NewStore(c.store(), name, began.UnixMilli(), 0)
+		slog.Info("starting a new history", "listen", c.Listen, "name", name, "version", began.UnixMilli(), "reads_in", c.store().Lease)
+	case !kept.Writes():
+		return fmt.Errorf("data_dir %s: it has a follower's copy; promote that follower, or begin in an empty folder", c.DataDir)
+	}
+	w := registry.NewWriter(c.Listen, store, c.serves(), began, random)
+	if data != nil {
+		if err := w.Keep(data, kept == nil); err != nil {
+			return err
+		}
+	}
+	w.AskPeers(ctx, c.Peers)
+	if f := w.Fenced(); f != nil {
+		slog.Error("another writer was put in this one's place; make this one its follower", "writer", f.Writer, "epoch", f.Epoch)
 	}
-	slog.Info("starting a new history", "listen", c.Listen, "name", name, "version", began.UnixMilli(), "reads_in", c.store().Lease)
-	w := registry.NewWriter(store, c.serves(), began, random)
 	go reload(ctx, path, c, hangups, func(next *config) { w.Retune(next.store(), next.serves()) })
 	return w.Serve(ctx, l, operators)
 }
 
+const promoteWait = 10 * time.Second
+
+// promote calls a follower's control address.
+func promote(ctx context.Context, args []string) error {
+	if len(args) != 1 {
+		return errors.New("promote: one control address")
+	}
+	ctx, cancel := context.WithTimeout(ctx, promoteWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+args[0]+"/control/promote", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		const most = 1 << 10
+		text, err := io.ReadAll(io.LimitReader(resp.Body, most))
+		return errors.Join(fmt.Errorf("promote: %s: %s", resp.Status, bytes.TrimSpace(text)), err)
+	}
+	fmt.Println(args[0], "is the writer; name it in the configurations of backends, followers and gateways")
+	return nil
+}
+
 // reload reads the configuration again at each hangup until ctx ends. What it
 // listens on, and whether it writes, needs a new start.
 func reload(ctx context.Context, path string, c *config, hangups <-chan os.Signal, take func(*config)) {
@@ -173,8 +251,8 @@
 		case <-hangups:
 		}
 		next, err := readConfig(path)
-		if err == nil && (next.Listen != c.Listen || next.Control != c.Control || (next.Writer == "") != (c.Writer == "")) {
-			err = errors.New("listen, control, and whether there is a writer to copy need a new start")
+		if err == nil && (next.Listen != c.Listen || next.Control != c.Control || next.DataDir != c.DataDir || (next.Writer == "") != (c.Writer == "")) {
+			err = errors.New("listen, control, data_dir, and whether there is a writer to copy need a new start")
 		}
 		if err != nil {
 			slog.Error("not reloaded", "error", err)
--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -4,19 +4,127 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"dunlintray/internal/registry"
 )
 
 // patience bounds every wait of a test; none is expected to last so long.
 const patience = 20 * time.Second
 
+// TestMain lets the test binary stand in for the command.
+func TestMain(m *testing.M) {
+	if os.Getenv("REGISTRY_AS_COMMAND") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Killed a hundred times under writes, the service has each time all that it told
+// to be kept, in one history.
+func TestKilledUnderWrites(t *testing.T) {
+	address, dir := freePort(t), t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	os.WriteFile(path, fmt.Appendf(nil, `{"listen":%q,"data_dir":%q,"lease_ms":600000,"limits":{"data_mb":32}}`, address, filepath.Join(dir, "data")), 0o600)
+	kept := map[string]int64{} // the start that was told to be kept last
+	var mu sync.Mutex
+	var tried atomic.Int64
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	history, acknowledged := "", 0
+	for life := range 100 {
+		cmd := exec.Command(os.Args[0], "--config", path, "--log-level", "error")
+		cmd.Env = append(os.Environ(), "REGISTRY_AS_COMMAND=1")
+		cmd.Stderr = os.Stderr
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		url := "http://" + address + "/registry/instances"
+		until(t, "it takes writes", func() bool {
+			resp, err := client.Get("http://" + address + "/registry/fence")
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err == nil
+		})
+		if life > 0 {
+			resp, err := client.Get(url)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			l, err := registry.ParseListing(text)
+			if name := resp.Header.Get(registry.HistoryHeader); err != nil || history != "" && name != history {
+				t.Fatalf("life %d: history %s, before %s, %v: %s", life, name, history, err, text)
+			}
+			history = resp.Header.Get(registry.HistoryHeader)
+			have := map[string]int64{}
+			for _, i := range l.Instances {
+				have[i.ID] = i.StartedAtMs
+			}
+			for id, started := range kept {
+				if have[id] < started {
+					t.Fatalf("life %d: %s is at %d, though %d was kept", life, id, have[id], started)
+				}
+			}
+			for id, started := range have {
+				if started > tried.Load() {
+					t.Fatalf("life %d: %s is at %d, which nobody wrote", life, id, started)
+				}
+			}
+		}
+		// Writers go on until the process is gone; it goes after some of them were told.
+		enough := make(chan struct{}, 64)
+		var wg sync.WaitGroup
+		for n := range 4 {
+			wg.Go(func() {
+				for {
+					id, started := fmt.Sprintf("s-%d-%d", n, rand.IntN(10)), tried.Add(1)
+					req, _ := http.NewRequest("PUT", url+"/"+id, strings.NewReader(fmt.Sprintf(`{"hostPort":"127.0.0.1:80","zone":"a","machineType":"m","startedAtMs":%d}`, started)))
+					resp, err := client.Do(req)
+					if err != nil {
+						return
+					}
+					resp.Body.Close()
+					if resp.StatusCode == 200 {
+						mu.Lock()
+						kept[id] = max(kept[id], started)
+						acknowledged++
+						mu.Unlock()
+						select {
+						case enough <- struct{}{}:
+						default:
+						}
+					}
+				}
+			})
+		}
+		for range 1 + rand.IntN(40) {
+			select {
+			case <-enough:
+			case <-time.After(patience):
+				t.Fatal("no write was kept")
+			}
+		}
+		cmd.Process.Kill()
+		cmd.Wait()
+		wg.Wait()
+	}
+	t.Logf("%d writes were told to be kept", acknowledged)
+}
+
 func freePort(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dunlintray/internal/registry"
+	"dunlintray/internal/wal"
 )
 
 // listService is a registry that can be stopped and slowed.
@@ -74,13 +75,22 @@
 	s.delay = d
 }
 
-func startWriter(t *testing.T, address string, log registry.Log) *listService {
+// startWriter starts a writer that keeps its list in a folder.
+func startWriter(t *testing.T, address, dir string) *listService {
 	t.Helper()
-	store, err := registry.NewStore(storeLimits, log, fmt.Sprintf("%x", rand.Uint64()), time.Now().UnixMilli(), 0)
+	log, store, err := registry.Open(wal.Dir(dir), 64<<20, storeLimits, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return startService(t, address, registry.NewWriter(store, serveLimits, time.Now(), rand.New(rand.NewPCG(1, 1))).Serve)
+	fresh := store == nil
+	if fresh {
+		store = registry.NewStore(storeLimits, fmt.Sprintf("%x", rand.Uint64()), time.Now().UnixMilli(), 0)
+	}
+	w := registry.NewWriter("self", store, serveLimits, time.Now(), rand.New(rand.NewPCG(1, 1)))
+	if err := w.Keep(log, fresh); err != nil {
+		t.Fatal(err)
+	}
+	return startService(t, address, w.Serve)
 }
 
 // registered keeps a backend on the list until the test ends, at whichever of the
@@ -143,9 +153,9 @@
 // replaced. No request is lost for it, and drains are kept.
 func TestServesThroughListServices(t *testing.T) {
 	t.Parallel()
-	log := registry.NewMemory()
-	writer := startWriter(t, "127.0.0.1:0", log)
-	follower := registry.NewFollower(writer.address, storeLimits, serveLimits, time.Now(), rand.New(rand.NewPCG(2, 2)))
+	dir := t.TempDir()
+	writer := startWriter(t, "127.0.0.1:0", dir)
+	follower := registry.NewFollower("self", writer.address, nil, storeLimits, serveLimits, time.Now(), rand.New(rand.NewPCG(2, 2)))
 	copied := startService(t, "127.0.0.1:0", follower.Serve)
 
 	ctx, stop := context.WithCancel(context.Background())
@@ -213,7 +223,7 @@
 
 	writer.stop()
 	serves("without the writer")
-	writer = startWriter(t, writer.address, log) // from its log
+	writer = startWriter(t, writer.address, dir) // with what it has kept
 	serves("with the writer again")
 	drained(kept[2])
 
@@ -222,7 +232,7 @@
 	serves("with no service at all")
 	// Another, with nothing, takes the writer's place: nobody goes before all could
 	// register.
-	writer = startWriter(t, writer.address, registry.NewMemory())
+	writer = startWriter(t, writer.address, t.TempDir())
 	serves("with a service that begins")
 	drained(kept[0])
 	r.tells(t, "app.known_backends:3|g", "app.handled.lookup.dropped:0|c", "app.handled.lookup.bad_gateway:0|c")
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -57,6 +57,12 @@
 
 type closed struct{ conn *served }
 
+// serviceExited says that a list service's process has ended.
+type serviceExited struct {
+	service int
+	how     string
+}
+
 type stamped struct {
 	at time.Duration
 	e  any
@@ -80,6 +86,8 @@
 
 	gateways  []*process
 	services  []*process
+	configs   [][]byte     // of the services
+	killed    map[int]bool // services that a fault has ended; of the loop
 	callers   []*callers
 	agents    [][]*agent // by gateway, one for each list service
 	peers     map[link]*peer
@@ -102,7 +110,7 @@
 // started is left when it returns.
 func Run(ctx context.Context, s *scenario.Scenario, o Options) (*Result, error) {
 	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[link]*peer{},
-		served: map[world.Conn]*served{}, methods: map[string]string{},
+		served: map[world.Conn]*served{}, killed: map[int]bool{}, methods: map[string]string{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Fleet.Gateways + 4}, Timeout: 65 * time.Second}}
 	for _, c := range s.Classes {
 		e.methods[c.Name] = http.MethodPost
@@ -226,14 +234,14 @@
 		if k > 0 {
 			writer = e.place.registry(0)
 		}
-		config, err := e.s.RegistryConfig(e.place.registry(k), e.place.registryControl(k), writer)
+		config, err := e.s.RegistryConfig(e.place.registry(k), e.place.registryControl(k), writer, filepath.Join(p.dir, "data"))
 		if err != nil {
 			return err
 		}
-		if err := p.start(e.starter, config, func(string) {}); err != nil {
+		e.services, e.configs = append(e.services, p), append(e.configs, config)
+		if err := e.startService(k); err != nil {
 			return err
 		}
-		e.services = append(e.services, p)
 	}
 	// Backends register while the writer waits for all that want to.
 	for _, entry := range e.w.Entries() {
@@ -248,6 +256,13 @@
 	return nil
 }
 
+// startService starts a list service. One that ends though nobody has ended it
+// ends the play.
+func (e *engine) startService(k int) error {
+	p := e.services[k]
+	return p.start(e.starter, e.configs[k], func(how string) { e.post(serviceExited{k, how}) })
+}
+
 // startAround makes what one gateway meets.
 func (e *engine) startAround(g int) error {
 	e.callers = append(e.callers, newCallers(e, g, e.place.gateway(g)))
@@ -377,6 +392,11 @@
 	case closed:
 		delete(e.served, x.conn.id)
 		what = world.Closed{Conn: x.conn.id}
+	case serviceExited:
+		if !e.killed[x.service] && e.failed == nil {
+			e.failed = fmt.Errorf("%s ended by itself (%s); it said:\n%s", e.services[x.service].name, x.how, e.services[x.service].lastWords())
+		}
+		return
 	case arrivedAt:
 		what = e.relays.keep(x)
 	}
@@ -450,6 +470,15 @@
 		e.gateways[a.Gateway].signal(syscall.SIGSTOP)
 	case world.Thaw:
 		e.gateways[a.Gateway].signal(syscall.SIGCONT)
+	case world.KillService:
+		e.killed[a.Service] = true
+		e.services[a.Service].signal(syscall.SIGKILL)
+	case world.StartService:
+		e.services[a.Service].end(0)
+		if err := e.startService(a.Service); err != nil {
+			return err
+		}
+		e.killed[a.Service] = false
 	case world.Rude:
 		e.callers[a.Gateway].rude(a)
 	case world.Deliver:
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -19,14 +19,11 @@
 		b.Run(fmt.Sprint(watchers, "watchers"), func(b *testing.B) {
 			limits := testLimits
 			limits.Instances, limits.History = 200, 1000
-			store, err := NewStore(limits, NewMemory(), "h", 1000, -limits.Lease)
-			if err != nil {
-				b.Fatal(err)
-			}
+			store := NewStore(limits, "h", 1000, -limits.Lease)
 			for n := range 200 {
 				store.Register(0, inst(fmt.Sprint("instance-", n), 1), nil)
 			}
-			s := NewWriter(store, testServes, time.Now(), rand.New(rand.NewPCG(1, 1)))
+			s := NewWriter("self", store, testServes, time.Now(), rand.New(rand.NewPCG(1, 1)))
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -35,6 +35,7 @@
 	Listing         // as it came
 	News    Listing // what of it is news
 	History string
+	Epoch   int64 // of the writer; 0: not told
 }
 
 // NewClient calls heard, one at a time, with each answer that tells something new.
@@ -54,6 +55,7 @@
 		type end struct {
 			l       Listing
 			history string
+			epoch   int64
 			age     time.Duration
 			advised time.Duration
 			err     error
@@ -61,7 +63,7 @@
 		ended := make(chan end, 1)
 		go func() {
 			var e end
-			e.l, e.history, e.age, e.advised, e.err = c.ask(calling, ask)
+			e.l, e.history, e.epoch, e.age, e.advised, e.err = c.ask(calling, ask)
 			ended <- e
 		}()
 		var e end
@@ -84,7 +86,7 @@
 			if news, e.err = c.feed.Answered(e.l, e.history, e.age); e.err == nil {
 				c.heardAt.Store(time.Now().UnixNano())
 				if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since {
-					c.heard(Told{e.l, news, e.history})
+					c.heard(Told{e.l, news, e.history, e.epoch})
 				}
 				continue
 			}
@@ -114,7 +116,7 @@
 	return time.Since(time.Unix(0, at))
 }
 
-func (c *Client) ask(ctx context.Context, a Ask) (l Listing, history string, age, advised time.Duration, err error) {
+func (c *Client) ask(ctx context.Context, a Ask) (l Listing, history string, epoch int64, age, advised time.Duration, err error) {
 	url, limit := "http://"+a.Address+Path, listTimeout
 	if !a.Whole {
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d&history=%s", a.Since, watchWait.Milliseconds(), a.History)
@@ -124,29 +126,29 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return l, "", 0, 0, err
+		return l, "", 0, 0, 0, err
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return l, "", 0, 0, err
+		return l, "", 0, 0, 0, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer+1))
 	switch {
 	case err != nil:
-		return l, "", 0, 0, err
+		return l, "", 0, 0, 0, err
 	case len(body) > mostAnswer:
-		return l, "", 0, 0, errors.New("the list is too long")
+		return l, "", 0, 0, 0, errors.New("the list is too long")
 	case resp.StatusCode != http.StatusOK:
 		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		if !(after > 0) {
 			after = 0
 		}
 		advised = time.Duration(min(after, mostAdvised.Seconds()) * float64(time.Second))
-		return l, "", 0, advised, fmt.Errorf("status %s: %.200s", resp.Status, body)
+		return l, "", 0, 0, advised, fmt.Errorf("status %s: %.200s", resp.Status, body)
 	}
 	if l, err = ParseListing(body); err != nil {
-		return l, "", 0, 0, err
+		return l, "", 0, 0, 0, err
 	}
 	if a.Whole {
 		l.Reset = true // a call without a version is answered with all there are
@@ -154,5 +156,8 @@
 	if ms, err := strconv.ParseInt(resp.Header.Get(AgeHeader), 10, 64); err == nil && ms > 0 {
 		age = time.Duration(min(ms, mostAdvised.Milliseconds())) * time.Millisecond
 	}
-	return l, resp.Header.Get(HistoryHeader), age, 0, nil
+	if n, err := strconv.ParseInt(resp.Header.Get(EpochHeader), 10, 64); err == nil && n > 0 {
+		epoch = n
+	}
+	return l, resp.Header.Get(HistoryHeader), epoch, age, 0, nil
 }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -10,37 +11,67 @@
 	"time"
 )
 
-// Follower copies a writer by its watch and serves reads. It never writes.
+// Follower copies a writer by its watch and serves reads. It never writes, until
+// an operator promotes it.
 type Follower struct {
 	*Server
-	client *Client
-	moves  chan []string
+	client   *Client
+	moves    chan []string
+	source   string        // the writer that it copies, or whose place it has taken
+	promoted chan struct{} // closed then
 }
 
 // NewFollower copies the writer at an address. Until it has heard from it, reads
-// are turned away.
-func NewFollower(writer string, limits Limits, serves ServerLimits, began time.Time, random *rand.Rand) *Follower {
-	store := newStore(limits, 0)
-	store.gathering = math.MaxInt64
-	f := &Follower{Server: NewWriter(store, serves, began, random), moves: make(chan []string)}
-	f.writer.Store(&writer)
+// are turned away, unless it has a copy that an earlier process kept: that is
+// told, as old.
+func NewFollower(self, writer string, kept *Store, limits Limits, serves ServerLimits, began time.Time, random *rand.Rand) *Follower {
+	store := kept
+	if store == nil {
+		store = newStore(limits, 0)
+		store.gathering = math.MaxInt64
+	}
+	f := &Follower{Server: NewWriter(self, store, serves, began, random), moves: make(chan []string), source: writer, promoted: make(chan struct{})}
 	f.client = NewClient([]string{writer}, rand.New(rand.NewPCG(random.Uint64(), 1)), f.heard)
 	f.age = func() int64 {
-		if age := f.client.Age(); age >= 0 {
+		switch age := f.client.Age(); {
+		case age >= 0:
 			return age.Milliseconds()
+		case kept != nil:
+			return (staleAge + f.now()).Milliseconds() // at least; what was before this process nobody knows
 		}
 		return -1
 	}
+	name := fmt.Sprintf("%016x", random.Uint64())
+	f.Server.promote = func() error { return f.promote(name) }
+	if store.writes && store.fence == nil {
+		close(f.promoted) // in an earlier life
+		return f
+	}
+	f.writer.Store(&writer)
+	if store.writes {
+		// A writer that was fenced, and copies from now on.
+		store.writes, store.fence = false, nil
+	}
 	return f
 }
 
 // heard copies what the writer tells.
 func (f *Follower) heard(told Told) {
 	_, err := f.change(func(now time.Duration) (int64, error) {
+		if f.store.writes || f.left() {
+			return 0, nil // promoted meanwhile, or at the end
+		}
 		if told.History != f.store.history {
 			slog.Info("history", "name", told.History, "version", told.Generation, "before", f.store.history)
 		}
 		f.store.gathering = 0
+		f.store.epoch = max(f.store.epoch, told.Epoch)
+		if f.keeper != nil {
+			// A copy that can't be kept is served all the same.
+			if err := f.keeper.append(Saved{Copy: &SavedCopy{told.History, told.Epoch, told.Listing}}); err != nil {
+				slog.Error("the copy is not kept", "error", err)
+			}
+		}
 		return 0, f.store.Copy(now, told.Listing, told.History)
 	})
 	if err != nil {
@@ -50,6 +81,9 @@
 
 // Move copies another writer from now on. What is had stays until it answers.
 func (f *Follower) Move(ctx context.Context, writer string) {
+	if f.writer.Load() == nil {
+		return // it is the writer
+	}
 	f.writer.Store(&writer)
 	select {
 	case f.moves <- []string{writer}:
@@ -63,6 +97,16 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { f.client.Run(inner, f.moves) })
+	copying, end := context.WithCancel(inner)
+	wg.Go(func() {
+		select {
+		case <-f.promoted:
+			end()
+			f.tellOld(inner, f.source)
+		case <-inner.Done():
+			end()
+		}
+	})
+	wg.Go(func() { f.client.Run(copying, f.moves) })
 	return f.Server.Serve(ctx, l, operators)
 }
--- /dev/null
+++ b/internal/registry/promote.go
@@ -0,0 +1,207 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// FencePath is where a list service is told of the writer that was put in its
+// place, and asked which it knows.
+const FencePath = "/registry/fence"
+
+const (
+	fenceGap  = time.Second // between two tries to tell the old writer
+	fenceWait = time.Second // for its answer
+	mostFence = 1 << 10     // bytes
+)
+
+// EpochHeader has the epoch of the writer that a list comes from.
+const EpochHeader = "X-Registry-Epoch"
+
+// refuseFenced turns away what a writer must not do any more. The caller has the
+// lock.
+func (s *Server) refuseFenced() error {
+	if f := s.store.fence; f != nil {
+		return refuse(http.StatusServiceUnavailable, "%s has taken this writer's place (epoch %d)", f.Writer, f.Epoch)
+	}
+	return nil
+}
+
+// fence stops this service's writing if the other has the higher epoch.
+func (s *Server) fence(f Fence) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.store.writes:
+		return nil // it copies; whom is the operator's to say
+	case f.Epoch <= s.store.epoch:
+		return refuse(http.StatusConflict, "this writer has epoch %d, not below %d", s.store.epoch, f.Epoch)
+	case s.store.fence != nil && s.store.fence.Epoch >= f.Epoch:
+		return nil
+	}
+	// It holds from now on, also if it can't be kept: the other says so again after
+	// the next start.
+	s.store.fence = &f
+	slog.Error("another writer was put in this one's place; writes and reads are refused from now on", "writer", f.Writer, "epoch", f.Epoch, "own", s.store.epoch)
+	s.wake()
+	if s.keeper != nil {
+		return s.keeper.append(Saved{Fence: &f})
+	}
+	return nil
+}
+
+// fenceHandler answers another service's question or news.
+func (s *Server) fenceHandler(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var f Fence
+		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostFence))
+		if err == nil {
+			err = decode(text, &f)
+		}
+		if err != nil || f.Epoch < 1 || f.History == "" || len(f.History) > mostName || len(f.Writer) > mostName {
+			s.fail(w, refuse(http.StatusBadRequest, "no fence: %v", err))
+			return
+		}
+		if err := s.fence(f); err != nil {
+			s.fail(w, err)
+			return
+		}
+	}
+	s.mu.Lock()
+	f := Fence{Epoch: s.store.epoch, History: s.store.history}
+	if s.store.fence != nil {
+		f = *s.store.fence
+	} else if s.store.writes {
+		f.Writer = s.self
+	}
+	s.mu.Unlock()
+	text, err := json.Marshal(f)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	s.write(w, text)
+}
+
+// Fenced names the writer in whose favour this one was fenced.
+func (s *Server) Fenced() *Fence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.fence
+}
+
+// AskPeers asks other list services, before this writer takes any write, whether
+// another was put in its place. Those that do not answer in time know nothing.
+func (s *Server) AskPeers(ctx context.Context, peers []string) {
+	var wg sync.WaitGroup
+	for _, peer := range peers {
+		wg.Go(func() {
+			f, err := callFence(ctx, peer, nil)
+			if err == nil && f.Writer != "" && f.Writer != s.self {
+				if err = s.fence(f); isConflict(err) {
+					err = nil // this one has the higher epoch
+				}
+			}
+			if err != nil {
+				slog.Warn("peer", "address", peer, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func isConflict(err error) bool {
+	var r *Refusal
+	return errors.As(err, &r) && r.Status == http.StatusConflict
+}
+
+// callFence asks a service which writer it knows, or tells it.
+func callFence(ctx context.Context, address string, tell *Fence) (Fence, error) {
+	ctx, cancel := context.WithTimeout(ctx, fenceWait)
+	defer cancel()
+	method, body := http.MethodGet, []byte(nil)
+	if tell != nil {
+		text, err := json.Marshal(tell)
+		if err != nil {
+			return Fence{}, err
+		}
+		method, body = http.MethodPost, text
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+FencePath, bytes.NewReader(body))
+	if err != nil {
+		return Fence{}, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Fence{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostFence))
+	if err != nil {
+		return Fence{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Fence{}, fmt.Errorf("status %s: %.200s", resp.Status, text)
+	}
+	var f Fence
+	return f, json.Unmarshal(text, &f)
+}
+
+// tellOld tells the old writer, until it has heard or ctx ends, that this service
+// has taken its place.
+func (s *Server) tellOld(ctx context.Context, old string) {
+	s.mu.Lock()
+	f := Fence{Epoch: s.store.epoch, History: s.store.history, Writer: s.self}
+	s.mu.Unlock()
+	for {
+		if _, err := callFence(ctx, old, &f); err == nil {
+			slog.Info("the old writer knows that another is in its place", "address", old)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(fenceGap):
+		}
+	}
+}
+
+// promote makes this follower the writer.
+func (f *Follower) promote(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.store.writes:
+		return nil // it is
+	case f.keeper == nil:
+		return refuse(http.StatusConflict, "a follower without data_dir would forget that it is the writer")
+	case f.store.history == "":
+		return refuse(http.StatusConflict, "this follower has no list yet")
+	}
+	now := f.now()
+	r := f.store.Promote(now, name, time.Now().UnixMilli())
+	if err := f.keeper.append(r); err != nil {
+		return fmt.Errorf("the promotion could not be kept: %w", err)
+	}
+	before, version := f.store.history, f.store.version
+	if err := f.store.Restore(now, r); err != nil {
+		return err
+	}
+	f.store.Stage()
+	f.store.gathering = 0
+	f.store.ticked = now
+	f.store.renewAll(now)
+	f.writer.Store(nil)
+	slog.Warn("promoted: this service is the writer now", "history", f.store.history, "version", f.store.version, "epoch", f.store.epoch, "before", before, "at", version)
+	f.wake()
+	close(f.promoted)
+	return nil
+}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -58,16 +58,21 @@
 	listsAt    time.Time
 	random     *rand.Rand
 
-	leaving chan struct{} // closed at the stop
+	keeper  *keeper        // makes changes last; nil: nothing does
+	self    string         // this service's own address, for others
+	promote func() error   // of a follower
+	wg      sync.WaitGroup // of snapshots
+	leaving chan struct{}  // closed at the stop
+	ended   chan struct{}  // closed when no change is made any more
 	figures struct {
 		watchers, refused, turnedAway, answers, bytes, cut atomic.Int64
 	}
 }
 
-// NewWriter serves a store of its own.
-func NewWriter(store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
-	return &Server{limits: limits, store: store, began: began, news: make(chan struct{}), random: random,
-		lists: limits.Lists, listsAt: began, leaving: make(chan struct{})}
+// NewWriter serves a store of its own at an address that others know.
+func NewWriter(self string, store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
+	return &Server{self: self, limits: limits, store: store, began: began, news: make(chan struct{}), random: random,
+		lists: limits.Lists, listsAt: began, leaving: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // Retune puts other limits in force. Leases that run keep their end.
@@ -79,7 +84,7 @@
 
 func (s *Server) now() time.Duration { return time.Since(s.began) }
 
-// tick lets leases lapse until ctx ends.
+// tick lets leases lapse until ctx ends; where changes are kept, the keeper does.
 func (s *Server) tick(ctx context.Context) {
 	t := time.NewTicker(tickGap)
 	defer t.Stop()
@@ -89,6 +94,13 @@
 			return
 		case <-t.C:
 		}
+		switch {
+		case s.keeper != nil:
+			s.tellLapses()
+			continue
+		case s.writer.Load() != nil:
+			continue // the writer's to say
+		}
 		if _, err := s.change(func(now time.Duration) (int64, error) { return 0, s.store.Tick(now) }); err != nil {
 			slog.Error("lapses", "error", err)
 		}
@@ -112,6 +124,20 @@
 	}
 }
 
+// writeChange makes a change, which lasts when it returns where changes are kept.
+func (s *Server) writeChange(f func(now time.Duration) (int64, error)) (version int64, err error) {
+	fenced := func(now time.Duration) (int64, error) {
+		if err := s.refuseFenced(); err != nil {
+			return 0, err
+		}
+		return f(now)
+	}
+	if s.keeper != nil {
+		return s.keeper.do(fenced)
+	}
+	return s.change(fenced)
+}
+
 // change does something with the store and wakes the watchers if that made news.
 func (s *Server) change(f func(now time.Duration) (int64, error)) (version int64, err error) {
 	s.mu.Lock()
@@ -155,6 +181,8 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, s.read)
+	mux.HandleFunc("GET "+FencePath, s.fenceHandler)
+	mux.HandleFunc("POST "+FencePath, s.fenceHandler)
 	for pattern, f := range map[string]func(id string, r *http.Request) (int64, error){
 		"PUT " + Path + "/{id}":            s.register,
 		"POST " + Path + "/{id}/renew":     s.renew,
@@ -228,7 +256,7 @@
 	if i.Lifecycle == "" {
 		i.Lifecycle = Ready
 	}
-	return s.change(func(now time.Duration) (int64, error) { return s.store.Register(now, i, c.IfVersion) })
+	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Register(now, i, c.IfVersion) })
 }
 
 func (s *Server) renew(id string, r *http.Request) (int64, error) {
@@ -239,7 +267,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return s.change(func(now time.Duration) (int64, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
+	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
 }
 
 func (s *Server) lifecycle(id string, r *http.Request) (int64, error) {
@@ -250,7 +278,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return s.change(func(now time.Duration) (int64, error) {
+	return s.writeChange(func(now time.Duration) (int64, error) {
 		return s.store.SetLifecycle(now, id, *c.StartedAtMs, c.Lifecycle, c.IfVersion)
 	})
 }
@@ -269,7 +297,7 @@
 	} else if version >= 0 {
 		expect = &version
 	}
-	return s.change(func(now time.Duration) (int64, error) { return s.store.Leave(now, id, started, expect) })
+	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Leave(now, id, started, expect) })
 }
 
 // number reads a number of a call's query; -1: it names none.
@@ -297,24 +325,25 @@
 	if since < 0 {
 		wait = 0
 	}
-	body, name, err := s.await(r.Context(), since, history, time.Duration(max(wait, 0))*time.Millisecond)
+	body, name, epoch, err := s.await(r.Context(), since, history, time.Duration(max(wait, 0))*time.Millisecond)
 	if err != nil {
 		s.fail(w, err)
 		return
 	}
 	w.Header().Set(HistoryHeader, name)
-	if s.age != nil {
+	w.Header().Set(EpochHeader, strconv.FormatInt(epoch, 10))
+	if s.age != nil && s.writer.Load() != nil {
 		w.Header().Set(AgeHeader, strconv.FormatInt(s.age(), 10))
 	}
 	s.write(w, body)
 }
 
 // await waits for an answer.
-func (s *Server) await(ctx context.Context, since int64, history string, wait time.Duration) (body []byte, name string, err error) {
+func (s *Server) await(ctx context.Context, since int64, history string, wait time.Duration) (body []byte, name string, epoch int64, err error) {
 	if wait > 0 {
 		defer s.figures.watchers.Add(-1)
 		if most := s.mostWatchers(); s.figures.watchers.Add(1) > int64(most) {
-			return nil, "", refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
+			return nil, "", 0, refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
 		}
 	}
 	over := time.NewTimer(wait)
@@ -323,18 +352,21 @@
 	for last := wait <= 0; ; {
 		s.mu.Lock()
 		a, err := s.store.Read(s.now(), since, history)
-		name, news := s.store.history, s.news
+		if fenced := s.refuseFenced(); fenced != nil {
+			err = fenced
+		}
+		name, epoch, news := s.store.history, s.store.epoch, s.news
 		switch ahead := s.writer.Load() != nil && since > s.store.version && history == name; {
 		case ahead && !last: // a follower will know by and by
 		case err != nil:
 			s.mu.Unlock()
-			return nil, "", err
+			return nil, "", 0, err
 		case a.Whole && !s.mayList():
 			s.mu.Unlock()
-			return nil, "", refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
+			return nil, "", 0, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
 		case !a.Nothing || last:
 			s.mu.Unlock()
-			return a.Body, name, nil
+			return a.Body, name, epoch, nil
 		}
 		s.mu.Unlock()
 		select {
@@ -346,7 +378,7 @@
 			leaving = nil
 			over.Reset(s.between(0, leaveWithin))
 		case <-ctx.Done():
-			return nil, "", ctx.Err()
+			return nil, "", 0, ctx.Err()
 		}
 	}
 }
@@ -430,21 +462,41 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	if s.writer.Load() == nil {
-		wg.Go(func() { s.tick(inner) })
+	wg.Go(func() { s.tick(inner) })
+	kept := make(chan error, 1)
+	if s.keeper != nil {
+		keeping, end := context.WithCancel(context.Background())
+		defer func() { // after the last write
+			end()
+			<-s.ended
+			s.wg.Wait()
+			if err := s.keeper.log.Close(); err != nil {
+				slog.Error("data", "error", err)
+			}
+		}()
+		go func() {
+			err := s.keeper.run(keeping)
+			close(s.ended)
+			kept <- err
+		}()
 	}
 	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readWait, IdleTimeout: idleWait, MaxHeaderBytes: mostHead}
 	failed := make(chan error, 2)
-	wg.Go(func() { failed <- server.Serve(netutil.LimitListener(l, s.limits.Connections)) })
+	s.mu.Lock()
+	connections := s.limits.Connections
+	s.mu.Unlock()
+	wg.Go(func() { failed <- server.Serve(netutil.LimitListener(l, connections)) })
 	if operators != nil {
 		control := &http.Server{Handler: s.control(), ReadTimeout: readWait, WriteTimeout: writeWait, MaxHeaderBytes: mostHead}
 		wg.Go(func() { failed <- control.Serve(netutil.LimitListener(operators, 16)) })
 		defer control.Close()
 	}
+	var broken error
 	select {
 	case err := <-failed:
 		server.Close()
 		return err
+	case broken = <-kept: // nobody may believe any more in what this process has
 	case <-ctx.Done():
 	}
 	slog.Info("leaving", "watchers", s.figures.watchers.Load())
@@ -453,16 +505,16 @@
 	defer cancel()
 	if err := server.Shutdown(end); err != nil {
 		server.Close()
-		return fmt.Errorf("calls that were still open at the end: %w", err)
+		return errors.Join(broken, fmt.Errorf("calls that were still open at the end: %w", err))
 	}
-	return nil
+	return broken
 }
 
 // ready tells whether reads are answered.
 func (s *Server) ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.now() >= s.store.gathering && !s.left()
+	return s.now() >= s.store.gathering && !s.left() && s.store.fence == nil
 }
 
 // control answers operators.
@@ -473,15 +525,29 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("POST /control/promote", func(w http.ResponseWriter, _ *http.Request) {
+		err := refuse(http.StatusConflict, "this is the writer")
+		if s.promote != nil {
+			err = s.promote()
+		}
+		if err != nil {
+			s.fail(w, err)
+		}
+	})
 	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) { s.writeFigures(w) })
 	mux.HandleFunc("GET /control/where", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		where := struct {
 			History string `json:"history"`
 			Version int64  `json:"version"`
+			Epoch   int64  `json:"epoch"`
 			Writer  string `json:"writer,omitempty"`
+			Fenced  string `json:"fencedBy,omitempty"`
 			AgeMs   *int64 `json:"ageMs,omitempty"`
-		}{History: s.store.history, Version: s.store.version}
+		}{History: s.store.history, Version: s.store.version, Epoch: s.store.epoch}
+		if s.store.fence != nil {
+			where.Fenced = s.store.fence.Writer
+		}
 		s.mu.Unlock()
 		if writer := s.writer.Load(); writer != nil {
 			where.Writer = *writer
@@ -515,6 +581,17 @@
 	if s.age != nil {
 		lines = append(lines, line{"age_ms", s.age(), "g"})
 	}
+	if s.keeper != nil {
+		k := s.keeper.log.Stats()
+		since := int64(-1)
+		if !k.SnapshotAt.IsZero() {
+			since = time.Since(k.SnapshotAt).Milliseconds()
+		}
+		lines = append(lines, line{"data.syncs", k.Syncs, "c"}, line{"data.sync_us", k.Wait.Microseconds(), "c"}, line{"data.longest_sync_us", k.LongestWait.Microseconds(), "g"},
+			line{"data.records", k.Records, "c"}, line{"data.no_room", k.NoRoom, "c"}, line{"data.bytes", k.Bytes, "g"}, line{"data.segments", int64(k.Segments), "g"},
+			line{"data.snapshot_bytes", k.SnapshotBytes, "g"}, line{"data.snapshot_age_ms", since, "g"}, line{"data.recovery_us", k.Recovery.Took.Microseconds(), "g"},
+			line{"data.cut_bytes", k.Recovery.CutBytes, "g"})
+	}
 	for _, l := range lines {
 		fmt.Fprintf(w, "registry.%s:%d|%s\n", l.name, l.n, l.kind)
 	}
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -49,15 +49,15 @@
 
 func newWriterService(t *testing.T, limits ServerLimits) *service {
 	t.Helper()
-	store := newTestStore(t, testLimits, NewMemory(), 0)
-	s := &service{Server: NewWriter(store, limits, time.Now(), rand.New(rand.NewPCG(1, 1)))}
+	store := newTestStore(testLimits, 0)
+	s := &service{Server: NewWriter("self", store, limits, time.Now(), rand.New(rand.NewPCG(1, 1)))}
 	s.run(t, s.Server.Serve, "127.0.0.1:0")
 	return s
 }
 
 func newFollowerService(t *testing.T, writer string) (*service, *Follower) {
 	t.Helper()
-	f := NewFollower(writer, testLimits, testServes, time.Now(), rand.New(rand.NewPCG(2, 2)))
+	f := NewFollower("self", writer, nil, testLimits, testServes, time.Now(), rand.New(rand.NewPCG(2, 2)))
 	s := &service{Server: f.Server}
 	s.run(t, f.Serve, "127.0.0.1:0")
 	return s, f
@@ -423,10 +423,10 @@
 func TestFollowerMoves(t *testing.T) {
 	t.Parallel()
 	old, next := newWriterService(t, testServes), &service{}
-	store := newTestStore(t, testLimits, NewMemory(), 0)
+	store := newTestStore(testLimits, 0)
 	store.history, store.version = "h2", 5000
 	store.forget()
-	next.Server = NewWriter(store, testServes, time.Now(), rand.New(rand.NewPCG(5, 5)))
+	next.Server = NewWriter("self", store, testServes, time.Now(), rand.New(rand.NewPCG(5, 5)))
 	next.run(t, next.Server.Serve, "127.0.0.1:0")
 	old.put(t, "s-1", 7)
 	next.put(t, "s-2", 9)
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -43,9 +43,11 @@
 // of the caller's monotonic clock. It is not safe for use by several goroutines.
 type Store struct {
 	limits  Limits
-	log     Log
 	history string
 	version int64
+	epoch   int64  // of the writer; each promotion has a higher one
+	writes  bool   // the history is this service's own
+	fence   *Fence // of one in whose place another was put
 	entries map[string]*entry
 	gone    map[string]change // of the instances in changes that are Gone, the last
 
@@ -55,6 +57,10 @@
 
 	joined map[int64][]byte // answers at this version, by the version asked from; -1: the whole list
 
+	staging bool // changes wait until they last
+	staged  []stagedChange
+	pending map[string]bool // instances in staged changes
+
 	gathering time.Duration // until then the list is not whole
 	ticked    time.Duration
 	credit    float64 // lapses that may go through
@@ -89,37 +95,26 @@
 	text    []byte
 }
 
-// NewStore takes up the history that the log has, or begins one with the given
-// name at a version that is higher than all that there were before.
-func NewStore(limits Limits, log Log, name string, first int64, now time.Duration) (*Store, error) {
+// stagedChange is one that does not last yet.
+type stagedChange struct {
+	instance Instance
+	version  int64
+	text     []byte
+}
+
+// NewStore begins a history with the given name at a version that is higher than
+// all that there were before. Reads are answered after one lease, in which all
+// instances can register.
+func NewStore(limits Limits, name string, first int64, now time.Duration) *Store {
 	s := newStore(limits, now)
-	s.log = log
-	err := log.Replay(func(r Record) error {
-		if r.Version < s.version {
-			return fmt.Errorf("log: version %d comes after %d", r.Version, s.version)
-		}
-		s.history, s.version = r.History, r.Version
-		if r.Instance.ID != "" {
-			return s.put(r.Instance, r.Version, now)
-		}
-		return nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	s.forget()
-	if s.history == "" {
-		s.history, s.version, s.from, s.gathering = name, first, first, now+limits.Lease
-		if err := log.Append(Record{History: name, Version: first}); err != nil {
-			return nil, err
-		}
-	}
-	return s, nil
+	s.history, s.version, s.from, s.epoch, s.writes = name, first, first, 1, true
+	s.gathering = now + limits.Lease
+	return s
 }
 
 func newStore(limits Limits, now time.Duration) *Store {
 	return &Store{limits: limits, entries: map[string]*entry{}, gone: map[string]change{}, joined: map[int64][]byte{},
-		ticked: now}
+		pending: map[string]bool{}, ticked: now}
 }
 
 // forget drops the history: what there was before is no list that anybody may
@@ -138,16 +133,23 @@
 	s.stats.Encoded++
 	s.version = version
 	clear(s.joined)
-	c := change{version, i.ID, i.StartedAtMs, text}
 	if i.Lifecycle == Gone {
 		delete(s.entries, i.ID)
-		s.gone[i.ID] = c
 	} else {
 		s.entries[i.ID] = &entry{Instance: i, version: version, text: text, expires: now + s.limits.Lease}
 		delete(s.gone, i.ID)
 	}
+	s.remember(change{version, i.ID, i.StartedAtMs, text}, i.Lifecycle == Gone)
+	return nil
+}
+
+// remember puts a change into the history, which forgets the oldest for it.
+func (s *Store) remember(c change, gone bool) {
+	if gone {
+		s.gone[c.id] = c
+	}
 	s.changes = append(s.changes, c)
-	s.bytes += len(text)
+	s.bytes += len(c.text)
 	for len(s.changes) > s.limits.History || s.bytes > s.limits.HistoryBytes && len(s.changes) > 0 {
 		old := s.changes[0]
 		s.changes[0] = change{}
@@ -158,15 +160,21 @@
 			delete(s.gone, old.id)
 		}
 	}
-	return nil
 }
 
-// commit makes a change last and takes it in.
-func (s *Store) commit(i Instance, now time.Duration) error {
-	if err := s.log.Append(Record{s.history, s.version + 1, i}); err != nil {
-		return refuse(http.StatusServiceUnavailable, "the change could not be kept: %v", err)
+// commit takes a change in, or stages it, and returns its version.
+func (s *Store) commit(i Instance, now time.Duration) (int64, error) {
+	version := s.version + int64(len(s.staged)) + 1
+	if !s.staging {
+		return version, s.put(i, version, now)
+	}
+	text, err := json.Marshal(i)
+	if err != nil {
+		return 0, err
 	}
-	return s.put(i, s.version+1, now)
+	s.staged = append(s.staged, stagedChange{i, version, text})
+	s.pending[i.ID] = true
+	return version, nil
 }
 
 // expected holds a write to the version that it names, if it does.
@@ -191,6 +199,9 @@
 	if i.Lifecycle == Gone {
 		return 0, refuse(http.StatusBadRequest, "lifecycle: an instance that is Gone leaves")
 	}
+	if s.pending[i.ID] {
+		return 0, errPending
+	}
 	if err := s.expected(i.ID, expect); err != nil {
 		return 0, err
 	}
@@ -200,7 +211,7 @@
 		if last, was := s.gone[i.ID]; was && last.started > i.StartedAtMs {
 			return 0, refuse(http.StatusConflict, "%s has been on the list with a later start, %d", i.ID, last.started)
 		}
-		if len(s.entries) >= s.limits.Instances {
+		if len(s.entries)+len(s.staged) >= s.limits.Instances {
 			return 0, refuse(http.StatusConflict, "the list is full with %d instances", len(s.entries))
 		}
 	case e.StartedAtMs > i.StartedAtMs:
@@ -214,15 +225,15 @@
 			return e.version, nil
 		}
 	}
-	if err := s.commit(i, now); err != nil {
-		return 0, err
-	}
 	s.stats.Registered++
-	return s.version, nil
+	return s.commit(i, now)
 }
 
 // own returns the entry of the process with this id and start.
 func (s *Store) own(id string, started int64) (*entry, error) {
+	if s.pending[id] {
+		return nil, errPending
+	}
 	e := s.entries[id]
 	switch {
 	case e == nil:
@@ -266,13 +277,12 @@
 	}
 	i := e.Instance
 	i.Lifecycle = l
-	err = s.commit(i, now)
-	return s.version, err
+	return s.commit(i, now)
 }
 
 // Leave takes an instance off the list. One that is not there has left.
 func (s *Store) Leave(now time.Duration, id string, started int64, expect *int64) (int64, error) {
-	if s.entries[id] == nil {
+	if s.entries[id] == nil && !s.pending[id] {
 		return s.version, nil
 	}
 	e, err := s.own(id, started)
@@ -284,8 +294,7 @@
 	}
 	i := e.Instance
 	i.Lifecycle = Gone
-	err = s.commit(i, now)
-	return s.version, err
+	return s.commit(i, now)
 }
 
 // Tick lets leases lapse. It wants to be called often; a long time between two
@@ -295,15 +304,13 @@
 	s.ticked = now
 	if since > s.limits.Lease/pauseShare {
 		s.stats.Pauses++
-		for _, e := range s.entries {
-			e.expires = max(e.expires, now+s.limits.Lease)
-		}
+		s.renewAll(now)
 	}
 	list := float64(len(s.entries))
 	s.credit = min(s.credit+since.Seconds()*max(lapseShare*list, 1), max(lapseBurst*list, 1))
 	var over []*entry
 	for _, e := range s.entries {
-		if e.expires <= now {
+		if e.expires <= now && !s.pending[e.ID] {
 			over = append(over, e)
 		}
 	}
@@ -313,7 +320,7 @@
 	for len(over) > 0 && s.credit >= 1 {
 		i := over[0].Instance
 		i.Lifecycle = Gone
-		if err := s.commit(i, now); err != nil {
+		if _, err := s.commit(i, now); err != nil {
 			return err
 		}
 		s.credit--
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -14,16 +14,28 @@
 
 var testLimits = Limits{Lease: 10 * time.Second, Instances: 50, History: 40, HistoryBytes: 1 << 20}
 
-func newTestStore(t *testing.T, limits Limits, log Log, now time.Duration) *Store {
-	t.Helper()
-	s, err := NewStore(limits, log, "h1", 1000, now)
-	if err != nil {
-		t.Fatal(err)
-	}
+func newTestStore(limits Limits, now time.Duration) *Store {
+	s := NewStore(limits, "h1", 1000, now)
 	s.gathering = 0
 	return s
 }
 
+// restarted is a store with all that a snapshot of another has.
+func restarted(t *testing.T, s *Store, now time.Duration) *Store {
+	t.Helper()
+	again := newStore(s.limits, now)
+	for _, r := range s.Save() {
+		read, err := ParseSaved(encodeSaved(r))
+		if err == nil {
+			err = again.Restore(now, read)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return again
+}
+
 func inst(id string, started int64) Instance {
 	return Instance{ID: id, HostPort: "127.0.0.1:80", Zone: "a", MachineType: "m", Lifecycle: Ready, Weight: 1, StartedAtMs: started}
 }
@@ -39,7 +51,7 @@
 // Writes mean the same when they are made again, and one process can't write for
 // another.
 func TestWrites(t *testing.T) {
-	s := newTestStore(t, testLimits, NewMemory(), 0)
+	s := newTestStore(testLimits, 0)
 	p := func(n int64) *int64 { return &n }
 	moved, weighty := inst("a", 5), inst("a", 5)
 	moved.HostPort, weighty.Weight = "127.0.0.1:81", 2
@@ -89,42 +101,53 @@
 	}
 }
 
-// What could not be made to last has not happened.
-func TestLogThatFails(t *testing.T) {
-	log := &failing{Log: NewMemory()}
-	s := newTestStore(t, testLimits, log, 0)
+// What does not last yet is not told, and has not happened if it is dropped.
+func TestStagedChanges(t *testing.T) {
+	s := newTestStore(testLimits, 0)
 	s.Register(0, inst("a", 1), nil)
-	log.fails = true
+	s.Stage()
 	before, _ := s.Read(0, -1, "")
-	for _, do := range []func() (int64, error){
-		func() (int64, error) { return s.Register(0, inst("b", 1), nil) },
-		func() (int64, error) { return s.SetLifecycle(0, "a", 1, Terminating, nil) },
-		func() (int64, error) { return s.Leave(0, "a", 1, nil) },
-	} {
-		if _, err := do(); status(err) != http.StatusServiceUnavailable {
-			t.Errorf("%v", err)
+	stage := func() {
+		t.Helper()
+		for n, do := range []func() (int64, error){
+			func() (int64, error) { return s.Register(0, inst("b", 1), nil) },
+			func() (int64, error) { return s.SetLifecycle(0, "a", 1, Terminating, nil) },
+			func() (int64, error) { return s.Register(0, inst("c", 1), nil) },
+		} {
+			if version, err := do(); err != nil || version != s.version+int64(n)+1 {
+				t.Errorf("%d: version %d, %v", n, version, err)
+			}
+		}
+		for _, do := range []func() (int64, error){
+			func() (int64, error) { return s.Register(0, inst("b", 2), nil) },
+			func() (int64, error) { return s.Renew(0, "a", 1) },
+			func() (int64, error) { return s.Leave(0, "c", 1, nil) },
+		} {
+			if _, err := do(); err != errPending {
+				t.Errorf("of one that is being changed: %v", err)
+			}
+		}
+		if after, _ := s.Read(0, -1, ""); string(after.Body) != string(before.Body) || len(s.Staged()) != 3 {
+			t.Errorf("told before it lasts: %s, %d staged", after.Body, len(s.Staged()))
 		}
 	}
-	if after, _ := s.Read(0, -1, ""); string(after.Body) != string(before.Body) {
-		t.Errorf("%s, before %s", after.Body, before.Body)
+	stage()
+	s.Drop()
+	if after, _ := s.Read(0, -1, ""); string(after.Body) != string(before.Body) || len(s.Staged()) != 0 {
+		t.Errorf("dropped, but %s", after.Body)
 	}
-}
-
-type failing struct {
-	Log
-	fails bool
-}
-
-func (f *failing) Append(r Record) error {
-	if f.fails {
-		return errors.New("no room")
+	stage()
+	if err := s.Settle(0); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := s.Read(0, 1001, "h1"); err != nil || a.Whole || strings.Count(string(a.Body), "instanceId") != 3 || s.version != 1004 {
+		t.Errorf("settled: %s, %v, version %d", a.Body, err, s.version)
 	}
-	return f.Log.Append(r)
 }
 
 // A lease that runs out makes its instance Gone, and many at once go slowly.
 func TestLapses(t *testing.T) {
-	s := newTestStore(t, testLimits, NewMemory(), 0)
+	s := newTestStore(testLimits, 0)
 	for n := range 40 {
 		s.Register(0, inst(fmt.Sprintf("i%02d", n), 1), nil)
 	}
@@ -167,8 +190,7 @@
 // After a start, or a time in which the service stood still, nobody goes before a
 // full lease has passed.
 func TestNobodyLapsesForTheServicesOwnPause(t *testing.T) {
-	log := NewMemory()
-	s := newTestStore(t, testLimits, log, 0)
+	s := newTestStore(testLimits, 0)
 	for n := range 10 {
 		s.Register(0, inst(fmt.Sprint(n), 1), nil)
 	}
@@ -185,10 +207,7 @@
 	if s.Stats().Pauses != 1 {
 		t.Errorf("%d pauses", s.Stats().Pauses)
 	}
-	again, err := NewStore(testLimits, log, "h2", 5000, 0) // on the same log, and a clock of its own
-	if err != nil {
-		t.Fatal(err)
-	}
+	again := restarted(t, s, 0) // with a clock of its own
 	if again.history != "h1" || again.version != s.version || len(again.entries) != len(s.entries) {
 		t.Errorf("history %s, version %d, %d instances after a restart", again.history, again.version, len(again.entries))
 	}
@@ -205,10 +224,7 @@
 
 // A service that begins with nothing tells no list until all could register.
 func TestGathering(t *testing.T) {
-	s, err := NewStore(testLimits, NewMemory(), "h1", 1000, time.Second)
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := NewStore(testLimits, "h1", 1000, time.Second)
 	s.Register(time.Second, inst("a", 1), nil)
 	if _, err := s.Read(10*time.Second, -1, ""); status(err) != http.StatusServiceUnavailable {
 		t.Errorf("%v", err)
@@ -221,7 +237,7 @@
 // Changes are joined for one that lags, encoded once, and kept within bounds.
 func TestHistory(t *testing.T) {
 	limits := testLimits
-	s := newTestStore(t, limits, NewMemory(), 0)
+	s := newTestStore(limits, 0)
 	for n := range int64(100) {
 		if _, err := s.Register(0, inst("a", n), nil); err != nil {
 			t.Fatal(err)
@@ -252,7 +268,7 @@
 		}
 	}
 	limits.HistoryBytes = 2000
-	small := newTestStore(t, limits, NewMemory(), 0)
+	small := newTestStore(limits, 0)
 	for n := range int64(100) {
 		if small.Register(0, inst("a", n), nil); small.Stats().Bytes > limits.HistoryBytes {
 			t.Fatalf("%+v", small.Stats())
@@ -269,7 +285,6 @@
 	t        *testing.T
 	random   *rand.Rand
 	now      time.Duration
-	log      *Memory
 	writer   *Store
 	follower *Store
 	copying  *Feed
@@ -293,13 +308,9 @@
 	return list
 }
 
-func (w *world) begin(log *Memory) {
+func (w *world) begin() {
 	w.named++
-	s, err := NewStore(testLimits, log, fmt.Sprint("h", w.named), int64(w.named)*100_000, w.now)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.log, w.writer = log, s
+	w.writer = NewStore(testLimits, fmt.Sprint("h", w.named), int64(w.named)*100_000, w.now)
 	w.remember()
 }
 
@@ -374,7 +385,7 @@
 	for seed := range uint64(40) {
 		random := rand.New(rand.NewPCG(seed, 7))
 		w := &world{t: t, random: random, models: map[string]map[string]Instance{}, seen: map[*Feed]map[string]int64{}}
-		w.begin(NewMemory())
+		w.begin()
 		w.follower = newStore(testLimits, 0)
 		w.follower.gathering = 1 << 62
 		w.copying = NewFeed([]string{"writer"}, random)
@@ -417,10 +428,10 @@
 			case 8:
 				if random.IntN(40) == 0 {
 					switch random.IntN(3) {
-					case 0: // the writer starts again from its log
-						w.begin(w.log)
+					case 0: // the writer starts again with what lasts
+						w.writer = restarted(t, w.writer, w.now)
 					case 1: // or from nothing
-						w.begin(NewMemory())
+						w.begin()
 					case 2: // it stands still
 						w.now += time.Minute
 					}
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -93,6 +93,7 @@
 	plans    []Line
 	windows  []Line
 	lateness *hdrhistogram.Histogram
+	lists    *hdrhistogram.Histogram
 	recent   [outcomes]int
 }
 
@@ -101,7 +102,7 @@
 
 // New returns a tally for a scenario.
 func New(s *scenario.Scenario) *Tally {
-	t := &Tally{total: Line{Kind: "total", Name: s.Name, latency: histogram()}, lateness: histogram()}
+	t := &Tally{total: Line{Kind: "total", Name: s.Name, latency: histogram()}, lateness: histogram(), lists: histogram()}
 	for _, c := range s.Classes {
 		t.classes = append(t.classes, Line{Kind: "class", Name: c.Name, latency: histogram()})
 	}
@@ -166,6 +167,11 @@
 	t.lateness.RecordValue(min(max(1, late.Microseconds()), 120_000_000))
 }
 
+// Heard adds how long after a change of the list a gateway was told of it.
+func (t *Tally) Heard(after time.Duration) {
+	t.lists.RecordValue(min(max(1, after.Microseconds()), 120_000_000))
+}
+
 // Lateness is how late the emulation was at a percentile of what it did.
 func (t *Tally) Lateness(percentile float64) time.Duration {
 	return time.Duration(t.lateness.ValueAtQuantile(percentile)) * time.Microsecond
@@ -216,9 +222,11 @@
 	return e.Encode(struct {
 		Kind string `json:"kind"`
 		Costs
+		ListP50Ms float64 `json:"list_heard_p50_ms"`
+		ListMaxMs float64 `json:"list_heard_max_ms"`
 		LateP99Ms float64 `json:"tool_late_p99_ms"`
 		LateMaxMs float64 `json:"tool_late_max_ms"`
-	}{"costs", t.Costs, t.Lateness(99).Seconds() * 1e3, t.Lateness(100).Seconds() * 1e3})
+	}{"costs", t.Costs, float64(t.lists.ValueAtQuantile(50)) / 1e3, float64(t.lists.Max()) / 1e3, t.Lateness(99).Seconds() * 1e3, t.Lateness(100).Seconds() * 1e3})
 }
 
 // Table writes it for people.
@@ -240,6 +248,9 @@
 	c := t.Costs
 	fmt.Fprintf(w, "%d tries; %d attempts, %d turned away, %d between zones; %d handshakes, %d probes; %d counter calls, %d turned away; beyond quotas -%.3f\n",
 		c.Tries, c.Attempts, c.Turned, c.CrossZone, c.Handshakes, c.Probes, c.Calls, c.CallsTurned, c.Beyond/max(1, t.total.Offered))
+	if n := t.lists.TotalCount(); n > 0 {
+		fmt.Fprintf(w, "changes of the list were heard after %d ms at p50, %d ms at most (%d times)\n", t.lists.ValueAtQuantile(50)/1000, t.lists.Max()/1000, n)
+	}
 	var cpu, most float64
 	for _, g := range t.Gateways {
 		cpu += g.CPUS
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -46,12 +46,15 @@
 }
 
 // RegistryConfig is the configuration of one list service. Writer is empty for
-// the writer itself.
-func (s *Scenario) RegistryConfig(listen, control, writer string) ([]byte, error) {
+// the writer itself; dir is where it keeps its list, if the scenario says so.
+func (s *Scenario) RegistryConfig(listen, control, writer, dir string) ([]byte, error) {
 	config := object{"listen": listen, "control": control, "lease_ms": LeaseMs}
 	if writer != "" {
 		config["writer"] = writer
 	}
+	if s.Fleet.KeepLists {
+		config["data_dir"] = dir
+	}
 	return json.MarshalIndent(config, "", " ")
 }
 
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -266,6 +266,7 @@
 			continue
 		}
 		want(f.At >= 0 && f.At < s.Duration, key("at"), "%v is not within the %v of the scenario", f.At, s.Duration)
+		want(f.Kind != "writer_killed" || s.Fleet.ListServices > 0, key("kind"), "there is no list service")
 		want(f.For >= 0 && (f.For > 0 || f.Kind == "counter_empty"), key("for"), "%v is not above 0", f.For)
 		share(key("part"), f.Part)
 		inZone := slices.Contains(s.Fleet.Zones, f.Zone)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -33,6 +33,7 @@
 	Backends     int      `toml:"backends"`
 	Zones        []string `toml:"zones"`
 	ListServices int      `toml:"list_services"` // a writer and its followers; 0: the world tells the lists itself
+	KeepLists    bool     `toml:"keep_lists"`    // list services keep what they have on disk
 	Cores        float64  `toml:"cores"`         // of a gateway
 	MemoryMB     int      `toml:"memory_mb"`     // of a gateway
 	Sockets      int      `toml:"sockets"`       // descriptors of a gateway
@@ -171,6 +172,7 @@
 	"counter_empty":  {What: "the counter has lost everything at once; for is not used"},
 	"list_late":      {What: "no list is told"},
 	"list_stale":     {What: "who asks for a whole list gets the one from before"},
+	"writer_killed":  {What: "the list service that writes is killed, and started again after for"},
 	"burst":          {Size: "times the load", What: "more requests come"},
 	"rude":           {Size: "connections to each gateway", What: "clients connect and send nothing, or a head byte by byte"},
 }
@@ -204,7 +206,7 @@
 	const ms = Duration(time.Millisecond)
 	return Scenario{
 		Name: "default", Seed: 1, Duration: 15000 * ms,
-		Fleet: Fleet{Gateways: 3, Backends: 6, Zones: []string{"a", "b"}, ListServices: 2, Cores: 1, MemoryMB: 64, Sockets: 512},
+		Fleet: Fleet{Gateways: 3, Backends: 6, Zones: []string{"a", "b"}, ListServices: 2, KeepLists: true, Cores: 1, MemoryMB: 64, Sockets: 512},
 		Backend: Backend{Cores: 2, Slots: 16, Queue: 32, Connections: 256, Overfull: 0.3, Handshake: 2 * ms, KeepAlive: 15000 * ms, Cells: 2,
 			ColdFrom: 0.2, Cold: 8000 * ms, ColdMultiple: 4, OverloadFor: 1500 * ms, LoadReports: true},
 		Counter: Counter{CallsPerS: 2000, Queue: 100, Delay: 1 * ms, Timeout: 80 * ms, Price: 0.02},
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -25,6 +25,7 @@
 	state         backendState
 	fallen        bool
 	listed        bool
+	changed       time.Duration // when lists had to tell something new of it
 	draining      bool
 	drainAt       time.Duration
 	started       time.Duration // below 0: long ago
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -56,6 +56,9 @@
 		w.stale++
 		w.lists()
 		end(func() { w.stale--; w.lists() })
+	case "writer_killed":
+		w.do(KillService{0})
+		end(func() { w.do(StartService{0}) })
 	case "burst": // in load
 	case "rude":
 		for g := range w.gateways {
--- a/internal/world/gateways.go
+++ b/internal/world/gateways.go
@@ -143,8 +143,25 @@
 	})
 }
 
+// heardOf measures how long after it began a gateway is told of what a backend does
+// now.
+func (w *World) heardOf(g int, e Entry) {
+	if e.Backend >= len(w.backends) {
+		return
+	}
+	b, at := w.backends[e.Backend], link{g, e.Backend}
+	before, known := w.heard[at]
+	w.heard[at] = e
+	same := func(a, b time.Duration) bool { return a-b <= time.Millisecond && b-a <= time.Millisecond }
+	if b.changed > 0 && e.Lifecycle == b.entry().Lifecycle && same(e.Started, b.started) &&
+		(!known || before.Lifecycle != e.Lifecycle || !same(before.Started, e.Started)) {
+		w.Tally.Heard(w.now - b.changed)
+	}
+}
+
 // list tells discovery of a backend, and gateways late.
 func (w *World) list(b *backend, lost bool) {
+	b.changed = w.now
 	w.do(Enlist{Entry: b.entry(), Lost: lost})
 	if w.s.Fleet.ListServices > 0 {
 		return // they tell it
@@ -187,6 +204,7 @@
 		}
 	}
 	for _, entry := range e.Entries {
+		w.heardOf(e.Gateway, entry)
 		w.Judge.Told(w.now, e.Gateway, entry.Backend, entry.Lifecycle == Serving, entry.Started)
 	}
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -31,7 +31,8 @@
 	peers    peers
 	faults   *rand.Rand
 	cuts     map[int]int // zones that are cut off, by how many faults
-	hushed   int         // faults that hold all lists
+	heard    map[link]Entry
+	hushed   int // faults that hold all lists
 	stale    int
 }
 
@@ -84,7 +85,7 @@
 // to be one that Check finds no fault with.
 func New(s *scenario.Scenario) *World {
 	w := &World{s: s, Judge: referee.New(s), Tally: results.New(s), groups: map[group]map[string]time.Duration{}, conns: map[Conn]*conn{},
-		links: map[link]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}}
+		links: map[link]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}, heard: map[link]Entry{}}
 	w.counter.names = map[string]*number{}
 	w.gateways = make([]gateway, s.Fleet.Gateways)
 	for g := range w.gateways {
