--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"dunlintray/internal/wal"
 )
 
 // BenchmarkChange counts what one change costs with so many watchers, each of
@@ -106,3 +112,107 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkRecovery opens a folder with so many instances, from the log alone, from
+// a log ten times as long, and from a snapshot.
+func BenchmarkRecovery(b *testing.B) {
+	const most = 4 << 30
+	limits := Limits{Lease: time.Minute, Instances: 1 << 20, History: 20_000, HistoryBytes: 8 << 20}
+	for _, instances := range []int{1000, 10_000, 100_000} {
+		for _, c := range []struct {
+			name     string
+			rounds   int
+			snapshot bool
+		}{{"log", 1, false}, {"log10", 10, false}, {"snapshot", 10, true}} {
+			b.Run(fmt.Sprintf("%d/%s", instances, c.name), func(b *testing.B) {
+				slog.SetDefault(slog.New(slog.DiscardHandler))
+				dir := wal.Dir(b.TempDir())
+				log, _, err := Open(dir, most, limits, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				store := NewStore(limits, "h", 1000, 0)
+				log.Append([][]byte{encodeSaved(store.Save()[0])})
+				store.Stage()
+				for round := range c.rounds {
+					for n := range instances {
+						store.Register(0, inst(fmt.Sprint("instance-", n), int64(round)), nil)
+						if len(store.staged) == 1000 || n == instances-1 {
+							if _, err := log.Append(store.Staged()); err != nil {
+								b.Fatal(err)
+							}
+							store.Settle(0)
+						}
+					}
+				}
+				if c.snapshot {
+					if err := writeSnapshot(log, log.Last(), store.Save()); err != nil {
+						b.Fatal(err)
+					}
+				}
+				if err := log.Close(); err != nil {
+					b.Fatal(err)
+				}
+				for b.Loop() {
+					log, store, err := Open(dir, most, limits, 0)
+					if err != nil || len(store.entries) != instances {
+						b.Fatal(err)
+					}
+					st := log.Stats()
+					b.ReportMetric(float64(st.Bytes+st.SnapshotBytes), "bytes_read")
+					b.ReportMetric(float64(st.Recovery.Took.Microseconds()), "us_recovery")
+					log.Close()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkWrites has so many writers each change an instance of its own, kept on
+// disk and in memory.
+func BenchmarkWrites(b *testing.B) {
+	limits := Limits{Lease: time.Hour, Instances: 1000, History: 20_000, HistoryBytes: 8 << 20}
+	for _, kept := range []bool{true, false} {
+		for _, writers := range []int{1, 10, 100} {
+			b.Run(fmt.Sprintf("kept=%t/%d", kept, writers), func(b *testing.B) {
+				slog.SetDefault(slog.New(slog.DiscardHandler))
+				s := NewWriter("self", NewStore(limits, "h", 1000, 0), testServes, time.Now(), rand.New(rand.NewPCG(1, 1)))
+				var log *wal.Log
+				if kept {
+					var err error
+					if log, _, err = Open(wal.Dir(b.TempDir()), 512<<20, limits, 0); err != nil {
+						b.Fatal(err)
+					}
+					if err := s.Keep(log, true); err != nil {
+						b.Fatal(err)
+					}
+					ctx, stop := context.WithCancel(context.Background())
+					ended := make(chan error, 1)
+					go func() { ended <- s.keeper.run(ctx) }()
+					defer func() { stop(); <-ended; s.wg.Wait() }()
+				}
+				var next atomic.Int64
+				var wg sync.WaitGroup
+				b.ResetTimer()
+				for n := range writers {
+					wg.Go(func() {
+						for started := next.Add(1); started <= int64(b.N); started = next.Add(1) {
+							_, err := s.writeChange(func(now time.Duration) (int64, error) {
+								return s.store.Register(now, inst(fmt.Sprint("s-", n), started), nil)
+							})
+							if err != nil {
+								b.Error(err)
+							}
+						}
+					})
+				}
+				wg.Wait()
+				b.StopTimer()
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "writes/s")
+				if kept {
+					b.ReportMetric(float64(log.Stats().Syncs)/float64(b.N), "syncs/write")
+				}
+			})
+		}
+	}
+}
--- a/internal/registry/keeper.go
+++ b/internal/registry/keeper.go
@@ -188,7 +188,7 @@
 		_, err = k.log.Append(records) // while readers and renewals that wait are let be
 		k.s.mu.Lock()
 		if err == nil {
-			err = k.s.store.Settle(k.s.now())
+			k.s.store.Settle(k.s.now())
 			k.s.wake()
 		} else {
 			k.s.store.Drop()
--- a/internal/registry/keeper_test.go
+++ b/internal/registry/keeper_test.go
@@ -285,6 +285,24 @@
 	until(t, "the old writer copies the new one", has(w, "s-5"))
 }
 
+// Whatever the clock says, a promotion's history begins above all versions before.
+func TestVersionsNeverGoBack(t *testing.T) {
+	for _, clock := range []int64{-1 << 40, 0, 1000, 1 << 41} {
+		s := newTestStore(testLimits, 0)
+		s.Register(0, inst("a", 1), nil)
+		before := s.version
+		if err := s.Restore(0, s.Promote(0, "h2", clock)); err != nil {
+			t.Fatal(err)
+		}
+		if s.version <= before || s.version < clock || s.epoch != 2 || s.entries["a"] == nil {
+			t.Errorf("clock %d: version %d after %d, epoch %d", clock, s.version, before, s.epoch)
+		}
+		if err := s.Restore(0, Saved{Begin: &Begin{History: "h3", Version: before, Epoch: 3}}); err == nil {
+			t.Errorf("clock %d: a record of version %d was taken at %d", clock, before, s.version)
+		}
+	}
+}
+
 // Readers of two services go over to the promoted one, and never back.
 func TestReadersFollowAPromotion(t *testing.T) {
 	w, _ := startKeeping(t, wal.Dir(t.TempDir()), "127.0.0.1:0", "")
--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -115,7 +115,7 @@
 			s.remember(change{r.Change.Version, i.ID, i.StartedAtMs, r.Change.Instance}, i.Lifecycle == Gone && s.entries[i.ID] == nil)
 			return nil
 		}
-		return s.put(i, r.Change.Version, now)
+		s.putText(i, r.Change.Instance, r.Change.Version, now)
 	case r.Copy != nil:
 		s.epoch, s.writes = max(s.epoch, r.Copy.Epoch), false
 		return s.Copy(now, r.Copy.Listing, r.Copy.History)
@@ -162,15 +162,12 @@
 }
 
 // Settle takes the staged changes in: they last.
-func (s *Store) Settle(now time.Duration) error {
+func (s *Store) Settle(now time.Duration) {
 	staged := s.staged
 	s.Drop()
 	for _, c := range staged {
-		if err := s.put(c.instance, c.version, now); err != nil {
-			return err
-		}
+		s.putText(c.instance, c.text, c.version, now)
 	}
-	return nil
 }
 
 // Drop forgets the staged changes: they have not happened.
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -131,6 +131,12 @@
 		return err
 	}
 	s.stats.Encoded++
+	s.putText(i, text, version, now)
+	return nil
+}
+
+// putText takes a change in whose text there is.
+func (s *Store) putText(i Instance, text []byte, version int64, now time.Duration) {
 	s.version = version
 	clear(s.joined)
 	if i.Lifecycle == Gone {
@@ -140,7 +146,6 @@
 		delete(s.gone, i.ID)
 	}
 	s.remember(change{version, i.ID, i.StartedAtMs, text}, i.Lifecycle == Gone)
-	return nil
 }
 
 // remember puts a change into the history, which forgets the oldest for it.
@@ -172,6 +177,7 @@
 	if err != nil {
 		return 0, err
 	}
+	s.stats.Encoded++
 	s.staged = append(s.staged, stagedChange{i, version, text})
 	s.pending[i.ID] = true
 	return version, nil
