Membership: SWIM with suspicion among gateways; the present share out what the absent leave

The need: gateways knew their number from settings alone, dead gateways' parts of a quota were lost while the counter is silent, and no operator could see the fleet.

Off unless the configuration asks for it.

--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -37,6 +37,7 @@
 	Play    playCmd    `cmd:"" help:"Play a scenario and judge it."`
 	Config  configCmd  `cmd:"" help:"Check and print configurations."`
 	Call    callCmd    `cmd:"" help:"Call a gateway's or a list service's control address."`
+	Members membersCmd `cmd:"" help:"Show whom a gateway takes for present."`
 	Data    dataCmd    `cmd:"" help:"Look at the data of list services that are stopped."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -52,6 +53,7 @@
 
 type upCmd struct {
 	programs
+	Members  bool          `help:"Gateways tell each other who is present."`
 	Gateways int           `help:"Number of gateways." default:"3"`
 	Backends int           `help:"Number of backends." default:"6"`
 	Rate     float64       `help:"Requests a second." default:"300"`
@@ -65,7 +67,7 @@
 func (c *upCmd) Run(ctx context.Context, out io.Writer) error {
 	s := scenario.Default()
 	s.Name, s.Seed = "up", c.Seed
-	s.Fleet.Gateways, s.Fleet.Backends = c.Gateways, c.Backends
+	s.Fleet.Gateways, s.Fleet.Backends, s.Fleet.Membership = c.Gateways, c.Backends, c.Members
 	for i := range s.Plans {
 		s.Plans[i].Spread = min(s.Plans[i].Spread, c.Gateways)
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -33,6 +33,7 @@
 	Sockets    int // file descriptors
 	BodyMB     int // megabytes that a client may send in one body; 0: any number
 	Known      Listing
+	Members    membersConfig
 
 	// Of the environment, where the platform lets two processes of a gateway serve
 	// side by side:
@@ -82,6 +83,9 @@
 		Registries []string
 		Known      Listing
 		Settings   json.RawMessage
+		Membership bool
+		PeerListen string `json:"peer_listen"`
+		Peers      []string
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
@@ -101,6 +105,20 @@
 	if err := json.Unmarshal(text, &c.document); err != nil {
 		return Config{}, err
 	}
+	if raw.Membership {
+		var peers struct {
+			FamilyInfo struct {
+				InboxPerS float64 `json:"inboxPerS"`
+			} `json:"familyInfo"`
+		}
+		if err := json.Unmarshal(raw.Settings, &peers); err != nil {
+			return Config{}, err
+		}
+		c.Members = membersConfig{true, raw.PeerListen, raw.Peers, peers.FamilyInfo.InboxPerS}
+		if _, err := c.agent(); err != nil {
+			return Config{}, err
+		}
+	}
 	return c, c.check()
 }
 
@@ -110,6 +128,9 @@
 	if at := missingKey(c.document, next.document); at != "" {
 		return fmt.Errorf("%s is missing", at[1:])
 	}
+	if c.Members.Membership != next.Members.Membership || !slices.Equal(c.Members.Peers, next.Members.Peers) || c.Members.PeerListen != next.Members.PeerListen {
+		return errors.New("membership, peer_listen, peers: others need a new start")
+	}
 	if (len(c.Registries) > 0) != (len(next.Registries) > 0) {
 		return errors.New("registries: whether list services are asked needs a new start")
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"dunlintray/internal/membership"
 )
 
 const (
@@ -21,6 +23,7 @@
 	figures *figures
 	ready   func() bool
 	byHand  func(id string, offline bool) (known bool, err error)
+	members *membership.Agent // nil: membership is off
 }
 
 func (c *control) server() *http.Server {
@@ -33,7 +36,9 @@
 	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		c.figures.write(w)
+		writeMembers(w, c.members)
 	})
+	mux.HandleFunc("GET /control/members", membersHandler(c.members))
 	for word, offline := range map[string]bool{"offline": true, "online": false} {
 		mux.HandleFunc("POST /control/backends/{id}/"+word, func(w http.ResponseWriter, r *http.Request) {
 			switch known, err := c.byHand(r.PathValue("id"), offline); {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,15 @@
 	if calls != nil {
 		wg.Go(func() { calls.run(inner) })
 	}
+	members, err := newMembers(c, front.loop)
+	if err != nil {
+		return err
+	}
+	if members != nil {
+		present, gone := context.WithCancel(ctx) // a gateway that takes no more clients has left
+		defer gone()
+		wg.Go(func() { members.Run(present) })
+	}
 	follow := newListFollower(c, front.loop)
 	inForce := c
 	wg.Go(func() { follow.run(inner) })
@@ -136,7 +145,7 @@
 	wg.Go(func() { failed <- server.Serve(front.clients) })
 	pair.serving()
 	if operators != nil {
-		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand}).server()
+		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand, members: members}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
 		defer call.Close() // they may call until the end
 	}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"dunlintray/internal/membership"
+	"dunlintray/rules"
+)
+
+// peerShare is the part of the datagrams that a gateway takes in which membership
+// may have.
+const peerShare = 0.5
+
+// membersConfig is what a gateway is told of the others.
+type membersConfig struct {
+	Membership bool   // take part
+	PeerListen string // where datagrams come in
+	Peers      []string
+	InPerS     float64 // that a gateway takes in; of the settings
+}
+
+// agent finds the addresses that a gateway could not take part with.
+func (c *Config) agent() (membership.AgentConfig, error) {
+	a := membership.AgentConfig{Self: c.Rank, InPerS: c.Members.InPerS * peerShare}
+	var err error
+	if a.Listen, err = netip.ParseAddrPort(c.Members.PeerListen); err != nil {
+		return a, fmt.Errorf("peer_listen: %w", err)
+	}
+	for n, text := range c.Members.Peers {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return a, fmt.Errorf("peers[%d]: %w", n, err)
+		}
+		a.Peers = append(a.Peers, address)
+	}
+	switch {
+	case len(a.Peers) != c.Fleet:
+		return a, fmt.Errorf("peers: %d addresses of %d gateways", len(a.Peers), c.Fleet)
+	case a.InPerS < leastPeerRate:
+		return a, fmt.Errorf("settings: inboxPerS of %g leaves %g datagrams a second for membership, under %d", c.Members.InPerS, a.InPerS, leastPeerRate)
+	}
+	return a, nil
+}
+
+// leastPeerRate is what a member takes in when half of what is sent is lost.
+const leastPeerRate = 12
+
+// newMembers returns the agent that tells the module who is present; nil where
+// membership is not asked for.
+func newMembers(c *Config, l *Loop) (*membership.Agent, error) {
+	if !c.Members.Membership {
+		return nil, nil
+	}
+	a, err := c.agent()
+	if err != nil {
+		return nil, err
+	}
+	a.Start = time.Now()
+	return membership.NewAgent(a, rand.New(rand.NewPCG(c.Seed, uint64(c.Rank))), func(present []bool) {
+		l.post(told{rules.Members{Present: present}})
+	})
+}
+
+// errNoMembers answers operators of a gateway that takes no part.
+var errNoMembers = errors.New("membership is off")
+
+// Member is one line of what operators are told of the others.
+type Member struct {
+	Number      int    `json:"number"`
+	State       string `json:"state"`
+	Incarnation uint32 `json:"incarnation"`
+	StartedAtMs int64  `json:"startedAtMs"`
+	ForMs       int64  `json:"forMs"` // in this state
+}
+
+// MembersView is what operators are told.
+type MembersView struct {
+	Self       int      `json:"self"`
+	On         bool     `json:"on"`
+	Superseded bool     `json:"superseded"`
+	Digest     string   `json:"digest"`
+	Same       int      `json:"same"`  // members whose view is this one
+	Heard      int      `json:"heard"` // of so many that are present and have told theirs
+	Members    []Member `json:"members"`
+}
+
+func membersHandler(a *membership.Agent) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if a == nil {
+			http.Error(w, errNoMembers.Error(), http.StatusNotFound)
+			return
+		}
+		v := a.View()
+		out := MembersView{Self: v.Self, On: v.On, Superseded: v.Superseded, Digest: fmt.Sprintf("%016x", v.Digest), Same: v.Same, Heard: v.Of}
+		for _, m := range v.Members {
+			out.Members = append(out.Members, Member{m.Number, m.State.String(), m.Incarnation, m.Start, (v.Now - m.Since).Milliseconds()})
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(out)
+	}
+}
+
+// writeMembers puts the figures out.
+func writeMembers(w io.Writer, a *membership.Agent) {
+	if a == nil {
+		return
+	}
+	v := a.View()
+	states := map[membership.State]int64{}
+	for _, m := range v.Members {
+		states[m.State]++
+	}
+	st := v.Stats
+	for _, l := range []struct {
+		name string
+		n    int64
+		kind string
+	}{{"alive", states[membership.Alive], "g"}, {"suspect", states[membership.Suspect], "g"}, {"dead", states[membership.Dead], "g"}, {"left", states[membership.Left], "g"},
+		{"unknown", states[membership.Unknown], "g"}, {"differing", int64(st.Differing), "g"}, {"health", int64(st.Health), "g"}, {"sent", st.Sent, "c"}, {"sent_bytes", st.SentBytes, "c"},
+		{"received", st.Received, "c"}, {"dropped", st.Dropped, "c"}, {"garbled", st.Garbled, "c"}, {"stale", st.Stale, "c"}, {"refuted", st.Refuted, "c"},
+		{"suspected", st.Suspected, "c"}, {"declared", st.Declared, "c"}} {
+		fmt.Fprintf(w, "app.members.%s:%d|%s\n", l.name, l.n, l.kind)
+	}
+}
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -36,6 +36,9 @@
 	if len(a.Peers) > 0 {
 		config["peer_listen"], config["peers"], config["peers_all"] = a.PeerListen, a.Peers, a.PeersAll
 	}
+	if s.Fleet.Membership {
+		config["membership"] = true
+	}
 	if len(a.Registries) > 0 {
 		config["registries"] = a.Registries
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,6 +8,7 @@
 // (send) and one answers (giveBack), which hold the rules that no other step may bypass.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -140,6 +141,9 @@
 		if g.endsAt = e.Until; g.share < 1 {
 			g.shareOut(leaverShare)
 		}
+	case Members:
+		g.present = e.Present
+		g.here = g.presentOf(0, g.set.Fleet)
 	case ByHand:
 		g.byHand(e)
 	case Retune:
@@ -684,7 +688,7 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(w*g.warmRate, coldMin/float64(max(g.set.Fleet, 1))) * g.share
+	rate := max(w*g.warmRate, coldMin/float64(cmp.Or(g.here, g.set.Fleet, 1))) * g.share
 	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), max(coldSave*g.share, 1))
 	s.budgetedAt = g.now
 	return s.budget >= 1
@@ -871,8 +875,12 @@
 // worst each by the largest request, there is room for that.
 func (g *Gateway) terms(p *Plan, gateways, index int) (t terms) {
 	n := float64(max(gateways, 1))
+	here := n
+	if p.CeilingRate <= 0 {
+		here = float64(g.presentOf(g.set.Rank-index, int(n)))
+	}
 	t = terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: true, few: n <= fewMost,
-		window: windowLen, localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), places: p.MaxConcurrent,
+		window: windowLen, localRate: p.Rate / here, localBurst: max(p.Burst/here, 1), places: p.MaxConcurrent,
 		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
 	defer func() { // what this process may do unasked
 		t.first, t.localRate, t.localBurst = t.first*g.share, t.localRate*g.share, t.localBurst*g.share
@@ -908,6 +916,21 @@
 	return t
 }
 
+// presentOf counts the present of so many gateways in a row: all where nobody is told, or where most seem
+// gone. Danger: two halves may each take the other for dead. Counts of a majority are over half of all, so
+// what is shared out by them never comes to twice what there is, and ceilings are not shared out by them.
+func (g *Gateway) presentOf(first, n int) (count int) {
+	for i := 0; i < n && len(g.present) == max(g.set.Fleet, 1); i++ {
+		if at := (first + i + g.set.Fleet) % g.set.Fleet; g.present[at] || at == g.set.Rank {
+			count++
+		}
+	}
+	if 2*count > n {
+		return count
+	}
+	return n
+}
+
 func (g *Gateway) customerOf(r Request) *customer {
 	c := g.customers[r.Customer]
 	if c == nil {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -557,6 +557,35 @@
 	}
 }
 
+// While the counter is silent the present share out what the absent of a customer's set leave, but under a
+// ceiling, and only where most are present: two halves may each take the other for dead.
+func TestThePresentShareOutWhatTheAbsentLeave(t *testing.T) {
+	for _, c := range []struct {
+		present []bool
+		ceiling float64
+		want    float64 // units a second here
+	}{
+		{nil, 0, 2},
+		{[]bool{true, true, true, true, true, true}, 0, 2},
+		{[]bool{true, true, false, true, true, true}, 0, 2.5}, // one of the set of five, 1 to 5
+		{[]bool{false, true, true, true, true, true}, 0, 2},   // none of it
+		{[]bool{true, true, false, false, true, true}, 0, 10. / 3},
+		{[]bool{true, true, false, false, false, true}, 0, 2},  // most of it
+		{[]bool{true, false, false, true, true, true}, 0, 2.5}, // this one, 1, is there whatever is told
+		{[]bool{true, true, false, true, true, true}, 30, 4},   // a ceiling's part is everybody's own
+	} {
+		set := testSettings()
+		set.Fleet, set.Rank = 6, 1
+		p := Plan{Price: 1, Rate: 10, Burst: 40, CeilingRate: c.ceiling, CeilingBurst: 4 * c.ceiling}
+		set.Plans = []Plan{p}
+		d := start(t, set, some(2)...)
+		d.handle(Members{Present: c.present})
+		if got := d.g.terms(&p, 5, 0).localRate; math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%v, ceiling %g: %g units a second, not %g", c.present, c.ceiling, got, c.want)
+		}
+	}
+}
+
 func TestPlacesForAttemptsOutAtOnceAreLeased(t *testing.T) {
 	set := testSettings()
 	set.Plans[0] = Plan{Price: 1, MaxConcurrent: 2}
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,6 +25,8 @@
 	roster    []*customer       // by first sight
 	calls     map[uint64][]call // out, by name, in order
 	born      float64
+	present   []bool  // gateways, by number; empty: nobody is told
+	here      int     // so many of the fleet are; 0: nobody is told
 	share     float64 // part of what the gateway may do that is this process's
 	endsAt    float64 // when this process ends
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -280,6 +280,10 @@
 	Leaving                  // it takes no more clients
 )
 
+// Members tells which gateways are present, by their numbers, as far as this one
+// knows. Other gateways may know otherwise.
+type Members struct{ Present []bool }
+
 // Leave says that the process ends then, and can answer nobody after it.
 type Leave struct{ Until float64 }
 
@@ -324,6 +328,7 @@
 func (Adopt) event()        {}
 func (Neighbour) event()    {}
 func (Leave) event()        {}
+func (Members) event()      {}
 func (ByHand) event()       {}
 func (Retune) event()       {}
 func (Request) event()      {}
