Membership: ask a suspect again before it is declared dead; how near a ceiling came

The cause: in an hour of 300 members at a loss of 5% eleven single nodes declared a member dead that ran. Each had missed the refutation, which by then nobody passed on any more; the member had been told by others, had refuted, and was silent about it (node.go, Tick: until was the only thing that happened to a suspect).

The change: each who holds a member for suspect asks it three times more before the end, three such in a period at most, and its answer says that it is there. The referee tells how near the nearest customer came to its ceiling.

--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -30,6 +30,7 @@
 	confirms     = 3   // others who suspect, for the least
 	carryFactor  = 3.0 // times an entry is passed on, times that logarithm
 	elsewhere    = 4   // one of so many periods asks a member that is not present
+	warnings     = 3   // to a suspect, by each who holds it for one, and to all of them in a period
 	partOfOne    = 4   // one member may send a part of what is taken in
 	syncEvery    = 5   // periods between two parts of whole views that are sent
 )
@@ -74,6 +75,7 @@
 	confirmed map[int]bool  // who else does, on their own account
 	suspected time.Duration // since when, in this incarnation
 	until     time.Duration // a suspect one is declared dead then
+	warned    int           // times that it was told so meanwhile
 	digest    uint64        // of its view, as it told last
 	credit    float64       // datagrams that it may still send
 	creditAt  time.Duration
@@ -116,6 +118,7 @@
 
 	order    []int // of members to ask, this round
 	period   int
+	warned   int // warnings in this period
 	next     time.Duration
 	probe    *probe
 	relays   []relay
@@ -246,14 +249,24 @@
 		return true
 	})
 	for i := range n.members {
-		if m := &n.members[i]; m.State == Suspect && now >= m.until {
+		switch m := &n.members[i]; {
+		case m.State != Suspect:
+		case now >= m.until:
 			n.stats.Declared++
 			n.become(i, Dead, m.Incarnation, m.Start)
+		case n.warned < warnings && m.warned < warnings && now >= m.suspected+(m.until-m.suspected)*time.Duration(m.warned+1)/(warnings+1):
+			// It may have said long ago that it is there, and that came to all but this
+			// node; so it is asked, and says so again.
+			m.warned++
+			n.warned++
+			n.sequence++
+			n.send(i, datagram{kind: ping, sequence: n.sequence, about: i}, n.word(i))
 		}
 	}
 	if now >= n.next {
 		n.next = now + n.stretch(Period)
 		n.period++
+		n.warned = 0
 		n.ask()
 		if n.period%syncEvery == 0 {
 			n.sync()
@@ -427,7 +440,7 @@
 	m.State, m.Incarnation, m.Start = s, incarnation, start
 	m.confirmed = nil
 	if s == Suspect {
-		m.confirmed, m.suspected = map[int]bool{}, n.now
+		m.confirmed, m.suspected, m.warned = map[int]bool{}, n.now, 0
 		n.deadline(m)
 	}
 	n.digest ^= n.hash(m.Member)
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -41,6 +41,7 @@
 	Marks      []string       // what befell the fleet
 	Late       string         // why the play does not count; empty: it does
 	Cut        bool           // it was ended from outside
+	Nearest    float64        // to a ceiling: 1 far, 0 at the rule
 }
 
 // When a play does not count: the emulation was late itself.
@@ -144,7 +145,7 @@
 	for _, p := range e.gateways {
 		e.w.Tally.Gateways = append(e.w.Tally.Gateways, p.use)
 	}
-	r := &Result{Tally: e.w.Tally, Marks: e.marks, Cut: ctx.Err() != nil}
+	r := &Result{Tally: e.w.Tally, Marks: e.marks, Cut: ctx.Err() != nil, Nearest: e.w.Judge.Nearest()}
 	r.Violations, r.Counts = e.w.Judge.Violations()
 	switch p99 := e.w.Tally.Lateness(99); {
 	case p99 > mostLateP99:
--- a/internal/play/report.go
+++ b/internal/play/report.go
@@ -14,6 +14,7 @@
 // Report writes the result for people.
 func (r *Result) Report(w io.Writer) {
 	r.Tally.Table(w)
+	fmt.Fprintf(w, "nearest to a ceiling: %.2f of a store was left\n", r.Nearest)
 	for i, v := range r.Violations {
 		if i == shown {
 			fmt.Fprintln(w, "and others, see the counts")
@@ -49,5 +50,5 @@
 			return err
 		}
 	}
-	return e.Encode(map[string]any{"kind": "verdict", "worth": r.Tally.Share(), "broken": r.Counts, "counts": r.Late == "" && !r.Cut, "late": r.Late, "cut": r.Cut, "marks": r.Marks})
+	return e.Encode(map[string]any{"kind": "verdict", "worth": r.Tally.Share(), "nearest_to_ceiling": r.Nearest, "broken": r.Counts, "counts": r.Late == "" && !r.Cut, "late": r.Late, "cut": r.Cut, "marks": r.Marks})
 }
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -99,6 +99,7 @@
 	customers map[uint64]*store
 	taken     int
 	door      int // connections closed at the door
+	nearest   float64
 }
 
 type gateway struct {
@@ -161,7 +162,7 @@
 // New returns a referee for a fleet with gateways and no backends yet.
 func New(s *scenario.Scenario) *Referee {
 	r := &Referee{s: s, counts: map[string]int{}, open: map[uint64]*record{}, gateways: make([]gateway, s.Fleet.Gateways),
-		backends: map[int]*backend{}, customers: map[uint64]*store{}}
+		backends: map[int]*backend{}, customers: map[uint64]*store{}, nearest: 1}
 	for g := range r.gateways {
 		r.gateways[g] = gateway{told: map[int]told{}, stopping: -1}
 	}
@@ -197,6 +198,10 @@
 	}
 }
 
+// Nearest is how much of a ceiling's store, with its slack, the customer had left
+// that came nearest to the rule: 1 all, 0 nothing.
+func (r *Referee) Nearest() float64 { return r.nearest }
+
 // Sent tells that a client begins to send a request.
 func (r *Referee) Sent(now time.Duration, q Request) {
 	rec := &record{Request: q, class: &r.s.Classes[q.Class], excused: r.gateways[q.Gateway].excused}
@@ -367,7 +372,9 @@
 	}
 	c.units = min(p.CeilingBurst, c.units+p.CeilingRate*(now-c.at).Seconds()) - rec.Units
 	c.at = now
-	if least := -p.CeilingSlack - p.CeilingRate*ceilingFor.Seconds(); c.units < least {
+	least := -p.CeilingSlack - p.CeilingRate*ceilingFor.Seconds()
+	r.nearest = min(r.nearest, (c.units-least)/(p.CeilingBurst-least))
+	if c.units < least {
 		r.violate(now, Ceiling, rec.Gateway, rec, "customer %016x of plan %s is at %.1f units of its ceiling, under %.1f", rec.Customer, p.Name, c.units, least)
 	}
 }
