--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -22,6 +22,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"dunlintray/internal/play"
+	"dunlintray/internal/referee"
 	"dunlintray/internal/scenario"
 	"dunlintray/scenarios"
 )
@@ -30,6 +31,7 @@
 const (
 	exitBroken = 2 // a rule was broken
 	exitLate   = 3 // the play does not count
+	exitTried  = 4 // a rule that was to be tried was not
 )
 
 type cli struct {
@@ -49,6 +51,8 @@
 	Dir      string `help:"Folder for configurations and logs; without it, one that is removed unless something goes wrong." type:"path" placeholder:"DIR"`
 	JSON     string `name:"json" help:"File for the results, as lines of JSON; - for standard output." placeholder:"FILE"`
 	Quiet    bool   `help:"Show nothing while it runs."`
+
+	must []string // rules that have to be tried
 }
 
 type upCmd struct {
@@ -95,8 +99,9 @@
 
 type playCmd struct {
 	programs
-	Scenario string  `arg:"" help:"A file, or the name of a scenario that ships: ${scenarios}."`
-	Seed     *uint64 `help:"Another seed than the scenario's."`
+	Scenario string   `arg:"" help:"A file, or the name of a scenario that ships: ${scenarios}."`
+	Seed     *uint64  `help:"Another seed than the scenario's."`
+	Tried    []string `help:"Rules, or parts of them as resend/once, that have to be tried, in place of the scenario's own." placeholder:"RULE"`
 }
 
 func (c *playCmd) Run(ctx context.Context, out io.Writer) error {
@@ -107,9 +112,26 @@
 	if c.Seed != nil {
 		s.Seed = *c.Seed
 	}
+	if len(c.Tried) > 0 {
+		s.Tried = c.Tried
+	}
+	if err := knownRules(s.Tried); err != nil {
+		return err
+	}
+	c.must = s.Tried
 	return c.run(ctx, s, out)
 }
 
+// knownRules finds rules that are to be tried and that there are not.
+func knownRules(names []string) error {
+	for _, name := range names {
+		if !referee.Known(name) {
+			return fmt.Errorf("tried: there is no rule %q; there are %s", name, strings.Join(referee.Rules(), ", "))
+		}
+	}
+	return nil
+}
+
 // read reads a scenario that ships, or a file.
 func read(name string) (*scenario.Scenario, error) {
 	if slices.Contains(scenarios.Names(), name) {
@@ -188,6 +210,9 @@
 	case result.Late != "":
 		return ending{exitLate, "this play does not count: " + result.Late}
 	}
+	if untried := referee.Untried(result.Trials, c.must); len(untried) > 0 && !result.Cut {
+		return ending{exitTried, "not tried: " + strings.Join(untried, ", ")}
+	}
 	return nil
 }
 
@@ -219,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	if err := play.Fits(s); err != nil {
+	if err := errors.Join(play.Fits(s), knownRules(s.Tried)); err != nil {
 		return err
 	}
 	fmt.Fprintln(out, c.File, "is good")
--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -240,13 +240,13 @@
 		scenario := file(t, fmt.Sprintf(small, services, faults))
 		wg.Go(func() {
 			results := filepath.Join(dir, "results")
-			status, text := command(t.Context(), "play", scenario, "--gateway", bin+"/gateway", "--registry", bin+"/registry", "--dir", dir, "--json", results)
+			status, text := command(t.Context(), "play", scenario, "--gateway", bin+"/gateway", "--registry", bin+"/registry", "--dir", dir, "--json", results, "--tried", "answer,crash,peer")
 			// A machine that is too slow is not the program's fault; a broken rule is.
-			if status != 0 && status != exitLate || !strings.Contains(text, "no rule was broken") {
+			if status != exitTried && status != exitLate || !strings.Contains(text, "no rule was broken") || status == exitTried && !strings.Contains(text, "not tried: peer\n") {
 				t.Errorf("%d list services: ended with %d:\n%s", services, status, text)
 			}
 			all := lines(t, results)
-			if served := all["total"][0]["ended"].(map[string]any)["served"].(float64); served < 50 || len(all["gateway"]) != 2 || len(all["costs"]) != 1 || len(all["verdict"]) != 1 {
+			if served := all["total"][0]["ended"].(map[string]any)["served"].(float64); served < 50 || len(all["gateway"]) != 2 || len(all["costs"]) != 1 || len(all["rule"]) == 0 || len(all["verdict"]) != 1 {
 				t.Errorf("%d list services: %v", services, all)
 			}
 			if left := processes(t, dir); len(left) > 0 {
@@ -322,6 +322,7 @@
 		{"play " + bad, 1, bad + ":1: colour: no such key"},
 		{"play nowhere.toml", 1, "no such file"},
 		{"play calm --gateway /nowhere", 1, "build all with"},
+		{"play calm --tried drain,juggling", 1, `there is no rule "juggling"; there are answer, twice`},
 		{"config check " + bad, 1, ":1: colour"},
 		{"config print", 0, "[[class]]"},
 		{"config print calm --gateway 1", 0, `"rank": 1`},
--- a/internal/play/agents.go
+++ b/internal/play/agents.go
@@ -112,7 +112,7 @@
 		return
 	}
 	http.NewResponseController(w).Flush()
-	a.e.post(world.Told{Gateway: a.gateway, Whole: l.Reset, Entries: a.e.entries(l)})
+	a.e.post(world.Told{Gateway: a.gateway, Version: l.Generation, Whole: l.Reset, Entries: a.e.entries(l)})
 }
 
 // forward asks the list service.
@@ -264,74 +264,116 @@
 }
 
 // registrar speaks to the list services for all backends: it registers, renews,
-// drains and leaves, as each backend would by itself.
+// drains and leaves, as each backend would by itself. What is not answered as done
+// is said again until it is.
 type registrar struct {
 	e     *engine
 	calls chan world.Enlist
-	have  map[int]world.Enlist
+	have  map[int]*standing
 }
 
-const registrarCalls = 4096 // changes that may wait to be told
+// standing is a backend's last word.
+type standing struct {
+	world.Enlist
+	done bool // it was answered as done
+}
+
+const (
+	registrarCalls = 4096                   // changes that may wait to be told
+	sayAgain       = 100 * time.Millisecond // what was not answered as done
+)
 
 func newRegistrar(e *engine) *registrar {
-	return &registrar{e: e, calls: make(chan world.Enlist, registrarCalls), have: map[int]world.Enlist{}}
+	return &registrar{e: e, calls: make(chan world.Enlist, registrarCalls), have: map[int]*standing{}}
 }
 
 func (r *registrar) run(ctx context.Context) {
 	renew := time.NewTicker(scenario.LeaseMs * time.Millisecond / 3)
 	defer renew.Stop()
+	again := time.NewTicker(sayAgain)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case change := <-r.calls:
-			r.tell(ctx, change)
+			b := &standing{Enlist: change}
+			r.have[change.Backend] = b
+			r.tell(ctx, b)
+		case <-again.C:
+			for _, b := range r.have {
+				if !b.done && !r.tell(ctx, b) {
+					break // nobody is there
+				}
+			}
 		case <-renew.C:
 			for _, b := range r.have {
+				if !b.done {
+					continue
+				}
 				i := r.e.instance(b.Entry, 0)
-				if status := r.call(ctx, http.MethodPost, i.ID+"/renew", map[string]any{"startedAtMs": i.StartedAtMs}); status == http.StatusNotFound {
+				status, _ := r.call(ctx, http.MethodPost, i.ID+"/renew", map[string]any{"startedAtMs": i.StartedAtMs})
+				if status == http.StatusNotFound {
 					r.tell(ctx, b)
 				}
+				if status == 0 {
+					break // nobody is there
+				}
 			}
 		}
 	}
 }
 
-func (r *registrar) tell(ctx context.Context, change world.Enlist) {
-	i := r.e.instance(change.Entry, 0)
-	r.have[change.Backend] = change
-	switch {
-	case change.Lost:
-		delete(r.have, change.Backend) // it says nothing more, and its lease runs out
-	case change.Lifecycle == world.Gone:
-		delete(r.have, change.Backend)
-		r.call(ctx, http.MethodDelete, i.ID+"?startedAtMs="+strconv.FormatInt(i.StartedAtMs, 10), nil)
-	default:
-		r.call(ctx, http.MethodPut, i.ID, map[string]any{"hostPort": i.HostPort, "zone": i.Zone, "machineType": i.MachineType, "cell": i.Cell,
+// tell says a backend's word, and returns whether anybody was there.
+func (r *registrar) tell(ctx context.Context, b *standing) bool {
+	i := r.e.instance(b.Entry, 0)
+	if b.Lost {
+		delete(r.have, b.Backend) // it says nothing more, and its lease runs out
+		return true
+	}
+	var status int
+	var version int64
+	if b.Lifecycle == world.Gone {
+		status, version = r.call(ctx, http.MethodDelete, i.ID+"?startedAtMs="+strconv.FormatInt(i.StartedAtMs, 10), nil)
+	} else {
+		status, version = r.call(ctx, http.MethodPut, i.ID, map[string]any{"hostPort": i.HostPort, "zone": i.Zone, "machineType": i.MachineType, "cell": i.Cell,
 			"lifecycle": i.Lifecycle, "weight": i.Weight, "startedAtMs": i.StartedAtMs})
 	}
+	if b.done = status == http.StatusOK; b.done {
+		r.e.post(world.Enlisted{Entry: b.Entry, Version: version})
+		if b.Lifecycle == world.Gone {
+			delete(r.have, b.Backend)
+		}
+	}
+	return status != 0
 }
 
-// call makes a call to the writer. One that fails is made up for by the next
-// renewal.
-func (r *registrar) call(ctx context.Context, method, path string, body any) int {
+// call makes a call to the writer, and returns the status, 0 where there was none,
+// and the version that the answer names.
+func (r *registrar) call(ctx context.Context, method, path string, body any) (status int, version int64) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	var text bytes.Buffer
 	if body != nil {
 		if err := json.NewEncoder(&text).Encode(body); err != nil {
-			return 0
+			return 0, 0
 		}
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.e.place.registry(0)+registry.Path+"/"+path, &text)
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	resp, err := r.e.http.Do(req)
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	defer resp.Body.Close()
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	if resp.StatusCode == http.StatusOK && json.NewDecoder(io.LimitReader(resp.Body, mostList)).Decode(&answer) != nil {
+		return 0, 0 // it was cut, and may not have been done
+	}
 	io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
+	return resp.StatusCode, answer.Version
 }
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -41,7 +41,10 @@
 	Marks      []string       // what befell the fleet
 	Late       string         // why the play does not count; empty: it does
 	Cut        bool           // it was ended from outside
-	Nearest    float64        // to a ceiling: 1 far, 0 at the rule
+	Trials     []referee.Trial
+	Nearest    float64 // to a ceiling: 1 far, 0 at the rule
+	Low        int     // customers of which under a third of a ceiling's store was left
+	ColdMost   float64 // of a cold backend's room that was used
 }
 
 // When a play does not count: the emulation was late itself.
@@ -129,7 +132,13 @@
 		err = e.loop(ctx)
 	}
 	// The fleet ends first, while the world still answers it.
-	hung := e.stopFleet(err == nil && ctx.Err() == nil)
+	whole := err == nil && ctx.Err() == nil
+	if whole {
+		for g := range e.gateways {
+			e.w.Judge.Stopping(e.now(), g)
+		}
+	}
+	hung := e.stopFleet(whole)
 	stop()
 	e.close()
 	for _, g := range hung {
@@ -145,7 +154,8 @@
 	for _, p := range e.gateways {
 		e.w.Tally.Gateways = append(e.w.Tally.Gateways, p.use)
 	}
-	r := &Result{Tally: e.w.Tally, Marks: e.marks, Cut: ctx.Err() != nil, Nearest: e.w.Judge.Nearest()}
+	r := &Result{Tally: e.w.Tally, Marks: e.marks, Cut: ctx.Err() != nil, Nearest: e.w.Judge.Nearest(),
+		Trials: e.w.Judge.Trials(), Low: e.w.Judge.Low(), ColdMost: e.w.Judge.ColdMost()}
 	r.Violations, r.Counts = e.w.Judge.Violations()
 	switch p99 := e.w.Tally.Lateness(99); {
 	case p99 > mostLateP99:
@@ -323,7 +333,7 @@
 	var list any
 	if len(known.Instances) > 0 {
 		list = known
-		e.step(stamped{e.now(), world.Told{Gateway: g, Whole: true, Entries: e.entries(known)}})
+		e.step(stamped{e.now(), world.Told{Gateway: g, Version: known.Generation, Whole: true, Entries: e.entries(known)}})
 	}
 	config, err := e.s.GatewayConfig(g, a, list)
 	if err != nil {
--- a/internal/play/report.go
+++ b/internal/play/report.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"dunlintray/internal/referee"
 )
 
 // shown is how many broken rules are told with their histories.
@@ -14,7 +17,7 @@
 // Report writes the result for people.
 func (r *Result) Report(w io.Writer) {
 	r.Tally.Table(w)
-	fmt.Fprintf(w, "nearest to a ceiling: %.2f of a store was left\n", r.Nearest)
+	fmt.Fprintf(w, "nearest to a ceiling: %.2f of a store was left, under a third of %d; the fullest cold backend used %.2f of its room\n", r.Nearest, r.Low, r.ColdMost)
 	for i, v := range r.Violations {
 		if i == shown {
 			fmt.Fprintln(w, "and others, see the counts")
@@ -22,14 +25,25 @@
 		}
 		fmt.Fprintln(w, "BROKEN", v)
 	}
-	for _, rule := range slices.Sorted(maps.Keys(r.Counts)) {
-		fmt.Fprintf(w, "rule %s: broken %d times\n", rule, r.Counts[rule])
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "rule\tbroken\ttried")
+	for _, t := range r.Trials {
+		tried := strconv.Itoa(t.Tried)
+		if t.Tried == 0 {
+			tried = "not tried"
+		}
+		fmt.Fprintf(tab, "%s\t%d\t%s\t%s\n", t.Name, r.Counts[t.Rule()], tried, t.What)
 	}
-	switch {
-	case r.Cut:
+	tab.Flush()
+	if r.Cut {
 		fmt.Fprintln(w, "ended early")
-	case len(r.Counts) == 0:
-		fmt.Fprintln(w, "no rule was broken")
+	}
+	if untried := referee.Untried(r.Trials, referee.Rules()); len(r.Counts) == 0 {
+		fmt.Fprintf(w, "no rule was broken of the %d that were tried", len(referee.Rules())-len(untried))
+		if len(untried) > 0 {
+			fmt.Fprintf(w, "; not tried: %s", strings.Join(untried, ", "))
+		}
+		fmt.Fprintln(w)
 	}
 	if r.Late != "" {
 		fmt.Fprintln(w, "DOES NOT COUNT:", r.Late)
@@ -50,5 +64,12 @@
 			return err
 		}
 	}
-	return e.Encode(map[string]any{"kind": "verdict", "worth": r.Tally.Share(), "nearest_to_ceiling": r.Nearest, "broken": r.Counts, "counts": r.Late == "" && !r.Cut, "late": r.Late, "cut": r.Cut, "marks": r.Marks})
+	for _, t := range r.Trials {
+		err := e.Encode(map[string]any{"kind": "rule", "name": t.Name, "what": t.What, "tried": t.Tried, "broken": r.Counts[t.Rule()]})
+		if err != nil {
+			return err
+		}
+	}
+	return e.Encode(map[string]any{"kind": "verdict", "worth": r.Tally.Share(), "nearest_to_ceiling": r.Nearest, "low_customers": r.Low, "cold_room_used": r.ColdMost,
+		"broken": r.Counts, "not_tried": referee.Untried(r.Trials, referee.Rules()), "counts": r.Late == "" && !r.Cut, "late": r.Late, "cut": r.Cut, "marks": r.Marks})
 }
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -21,6 +21,7 @@
 	Refusal = "refusal" // "harmless to try again" only where that is so
 	Most    = "most"    // no more attempts than the settings allow
 	Drain   = "drain"   // nothing new to what drains
+	List    = "list"    // what a list service has answered as done is in its lists
 	Cold    = "cold"    // no cold backend pushed over
 	Ceiling = "ceiling" // no customer over its plan's ceiling
 	Unknown = "unknown" // nothing to a backend that no client sent, or that no list named
@@ -92,28 +93,56 @@
 	s          *scenario.Scenario
 	violations []Violation
 	counts     map[string]int
+	tried      map[string]int
 
 	open      map[uint64]*record
 	gateways  []gateway
 	backends  map[int]*backend
 	customers map[uint64]*store
+	enlisted  map[int]enlisted
+	load      load
+	counter   string // what it does
+	counterAt time.Duration
 	taken     int
 	door      int // connections closed at the door
 	nearest   float64
+	low       int     // customers of which under a third of the store was left
+	coldMost  float64 // of a cold backend's room that was used
 }
 
 type gateway struct {
 	excused  bool // it is down, frozen or cut off by a fault
 	stopping time.Duration
 	told     map[int]told
+	version  int64         // of the list told last
+	checked  map[int]int64 // by backend: the version at which what is enlisted was looked for
+	crowded  time.Duration // until then
 }
 
+// State is what lists say of a backend.
+type State int
+
+// The states, each of which is told after the one before.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+func (s State) String() string { return [...]string{"ready", "draining", "gone"}[s] }
+
 type told struct {
-	ready   bool
+	state   State
 	at      time.Duration // of its being told not ready
 	started time.Duration // its last start as told
 }
 
+type enlisted struct {
+	state   State
+	started time.Duration
+	version int64
+}
+
 type backend struct {
 	zone, cell int
 	started    time.Duration
@@ -121,6 +150,7 @@
 	window     []pressure
 	sum, aware float64 // of the window: work, and of that by gateways that were told of the start
 	fallen     bool
+	tried      bool
 }
 
 type pressure struct {
@@ -132,6 +162,12 @@
 type store struct {
 	units float64
 	at    time.Duration
+	low   bool // under a third has been left
+
+	asked     *float64 // what would be left if all that is asked were sent on; nil: not yet
+	askedAt   time.Duration
+	counterAt time.Duration // since when the counter does what it did then
+	over      bool
 }
 
 type record struct {
@@ -161,10 +197,10 @@
 
 // New returns a referee for a fleet with gateways and no backends yet.
 func New(s *scenario.Scenario) *Referee {
-	r := &Referee{s: s, counts: map[string]int{}, open: map[uint64]*record{}, gateways: make([]gateway, s.Fleet.Gateways),
-		backends: map[int]*backend{}, customers: map[uint64]*store{}, nearest: 1}
+	r := &Referee{s: s, counts: map[string]int{}, tried: map[string]int{Crash: s.Fleet.Gateways}, open: map[uint64]*record{}, gateways: make([]gateway, s.Fleet.Gateways),
+		backends: map[int]*backend{}, customers: map[uint64]*store{}, enlisted: map[int]enlisted{}, counter: CounterUp, nearest: 1}
 	for g := range r.gateways {
-		r.gateways[g] = gateway{told: map[int]told{}, stopping: -1}
+		r.gateways[g] = gateway{told: map[int]told{}, checked: map[int]int64{}, stopping: -1}
 	}
 	return r
 }
@@ -202,11 +238,21 @@
 // that came nearest to the rule: 1 all, 0 nothing.
 func (r *Referee) Nearest() float64 { return r.nearest }
 
+// Low is of how many customers under a third of that store was left.
+func (r *Referee) Low() int { return r.low }
+
+// ColdMost is the part of a cold backend's room that was used, of the fullest.
+func (r *Referee) ColdMost() float64 { return r.coldMost }
+
 // Sent tells that a client begins to send a request.
 func (r *Referee) Sent(now time.Duration, q Request) {
 	rec := &record{Request: q, class: &r.s.Classes[q.Class], excused: r.gateways[q.Gateway].excused}
 	rec.note(now, "sent to n%d", q.Gateway)
 	r.open[q.ID] = rec
+	if now < r.gateways[q.Gateway].crowded {
+		r.tried[Door]++
+	}
+	r.asked(now, q)
 }
 
 // Taken tells that its last byte has been written.
@@ -220,6 +266,9 @@
 	if stop := r.gateways[rec.Gateway].stopping; stop >= 0 && now > stop+700*time.Millisecond {
 		rec.excused = true // it came too late to be owed an answer
 	}
+	if !rec.excused {
+		r.tried[Answer]++
+	}
 }
 
 // Seen says whether any attempt of the request has come to a backend.
@@ -246,12 +295,16 @@
 func (r *Referee) Back(now time.Duration, g int, fresh bool) {
 	r.gateways[g].excused, r.gateways[g].stopping = false, -1
 	if fresh {
-		r.gateways[g].told = map[int]told{}
+		r.tried[Crash]++
+		r.gateways[g].told, r.gateways[g].checked, r.gateways[g].version = map[int]told{}, map[int]int64{}, 0
 	}
 }
 
 // Stopping tells that a gateway was told to end.
-func (r *Referee) Stopping(now time.Duration, g int) { r.gateways[g].stopping = now }
+func (r *Referee) Stopping(now time.Duration, g int) {
+	r.tried[Stop]++
+	r.gateways[g].stopping = now
+}
 
 // Hung tells that a gateway did not end in time.
 func (r *Referee) Hung(now time.Duration, g int) {
@@ -264,9 +317,17 @@
 	r.Excuse(now, g)
 }
 
-// Oversized tells of a datagram that is longer than gateways may send.
-func (r *Referee) Oversized(now time.Duration, g, bytes int) {
+// mostDatagram is the longest that gateways may send each other.
+const mostDatagram = 256
+
+// Datagram judges one that a gateway has sent, and says whether it may pass.
+func (r *Referee) Datagram(now time.Duration, g, bytes int) bool {
+	r.tried[Peer]++
+	if bytes <= mostDatagram {
+		return true
+	}
 	r.violate(now, Peer, g, nil, "it sent a datagram of %d bytes", bytes)
+	return false
 }
 
 // Backend tells of a backend, or that it has started again. Where cold is false
@@ -276,21 +337,21 @@
 }
 
 // Told tells that a gateway has been told of a backend.
-func (r *Referee) Told(now time.Duration, g, b int, ready bool, started time.Duration) {
+func (r *Referee) Told(now time.Duration, g, b int, state State, started time.Duration) {
 	before, known := r.gateways[g].told[b]
-	t := told{ready: ready, at: now, started: started}
-	if known && !before.ready && !ready {
+	t := told{state: state, at: now, started: started}
+	if known && before.state != Ready && state != Ready {
 		t.at = before.at
 	}
 	r.gateways[g].told[b] = t
 }
 
-// Named lists the backends that a gateway has been told are ready, for a whole
-// list that may leave some out.
+// Named lists the backends that a gateway has been told of and that have not gone,
+// for a whole list that may leave some out.
 func (r *Referee) Named(g int) []int {
 	var all []int
 	for b, t := range r.gateways[g].told {
-		if t.ready {
+		if t.state != Gone {
 			all = append(all, b)
 		}
 	}
@@ -313,6 +374,8 @@
 	if len(rec.attempts) >= r.s.Rules.Attempts {
 		r.violate(now, Most, a.Gateway, rec, "attempt %d of %d", len(rec.attempts)+1, r.s.Rules.Attempts)
 	}
+	r.tried[Unknown]++
+	r.tried[Changed]++
 	r.drained(a, rec)
 	r.again(a, rec)
 	if len(rec.attempts) == 0 {
@@ -330,22 +393,32 @@
 	switch late := a.First - t.at - r.s.Rules.DrainGrace.D() - r.s.Rules.Observe.D(); {
 	case !known:
 		r.violate(a.First, Unknown, a.Gateway, rec, "no list has named backend b-%d to this gateway", a.Backend)
-	case !t.ready && late > 0:
+	case t.state != Ready && late > 0:
 		r.violate(a.First, Drain, a.Gateway, rec, "sent to backend b-%d %v after its drain was told, %v too late",
 			a.Backend, (a.First - t.at).Round(time.Millisecond), late.Round(time.Millisecond))
 	}
+	for _, t := range r.gateways[a.Gateway].told {
+		if t.state == Draining && a.First-t.at > r.s.Rules.DrainGrace.D()+r.s.Rules.Observe.D() {
+			r.tried[Drain]++
+			break
+		}
+	}
 }
 
-// again judges whether a further attempt is permitted.
-func (r *Referee) again(a Attempt, rec *record) {
-	var first *attempt
+// mayHaveRun is the first attempt that may have.
+func (rec *record) mayHaveRun() (first *attempt, ran bool) {
 	for i := range rec.attempts {
 		if rec.attempts[i].mayRun {
-			first = &rec.attempts[i]
-			break
+			return &rec.attempts[i], true
 		}
 	}
-	if first == nil {
+	return nil, false
+}
+
+// again judges whether a further attempt is permitted.
+func (r *Referee) again(a Attempt, rec *record) {
+	first, ran := rec.mayHaveRun()
+	if !ran {
 		return
 	}
 	here, there := r.backends[a.Backend], r.backends[first.Backend]
@@ -365,20 +438,38 @@
 	if p.CeilingRate == 0 {
 		return
 	}
-	c := r.customers[rec.Customer]
-	if c == nil {
-		c = &store{units: p.CeilingBurst, at: now}
-		r.customers[rec.Customer] = c
+	c := r.store(now, rec.Request)
+	c.units -= rec.Units
+	least := r.least(p)
+	left := (c.units - least) / (p.CeilingBurst - least)
+	r.nearest = min(r.nearest, left)
+	if left < 1.0/3 && !c.low {
+		c.low = true
+		r.low++
 	}
-	c.units = min(p.CeilingBurst, c.units+p.CeilingRate*(now-c.at).Seconds()) - rec.Units
-	c.at = now
-	least := -p.CeilingSlack - p.CeilingRate*ceilingFor.Seconds()
-	r.nearest = min(r.nearest, (c.units-least)/(p.CeilingBurst-least))
 	if c.units < least {
 		r.violate(now, Ceiling, rec.Gateway, rec, "customer %016x of plan %s is at %.1f units of its ceiling, under %.1f", rec.Customer, p.Name, c.units, least)
 	}
 }
 
+// store is a customer's, as it is now.
+func (r *Referee) store(now time.Duration, q Request) *store {
+	p := &r.s.Plans[q.Plan]
+	c := r.customers[q.Customer]
+	if c == nil {
+		c = &store{units: p.CeilingBurst, at: now}
+		r.customers[q.Customer] = c
+	}
+	c.units = min(p.CeilingBurst, c.units+p.CeilingRate*(now-c.at).Seconds())
+	c.at = now
+	return c
+}
+
+// least is what a ceiling's store may have to have left.
+func (r *Referee) least(p *scenario.Plan) float64 {
+	return -p.CeilingSlack - p.CeilingRate*ceilingFor.Seconds()
+}
+
 // Settle judges whether two attempts of a request have been out at once.
 func (r *Referee) Settle(now time.Duration, id uint64) {
 	rec := r.open[id]
@@ -422,6 +513,7 @@
 			a.whole = how == Whole
 			a.broke = how == Broken
 			rec.note(now, "at b-%d: "+hows[how], a.Backend)
+			r.tempted(now, rec, a, how)
 		}
 	}
 }
@@ -442,7 +534,12 @@
 	if late := now - rec.Due - r.s.Rules.LostAfter.D() - r.s.Rules.Observe.D(); late > 0 && !rec.excused {
 		r.violate(now, Answer, rec.Gateway, rec, "answered with %d %v too late", status, late.Round(time.Millisecond))
 	}
-	mayRun := slices.ContainsFunc(rec.attempts, func(a attempt) bool { return a.mayRun })
+	r.tried[Twice]++
+	_, mayRun := rec.mayHaveRun()
+	bound := rec.class.Effect == "once" || rec.class.Effect == "by_key" && rec.class.Scope != "all"
+	if status != 200 && mayRun && bound {
+		r.tried[Refusal]++
+	}
 	switch {
 	case !whole:
 		if !rec.excused && !slices.ContainsFunc(rec.attempts, func(a attempt) bool { return a.broke || a.out }) {
@@ -452,10 +549,8 @@
 		if !slices.ContainsFunc(rec.attempts, func(a attempt) bool { return a.whole && a.Answer == answer }) || body != "" {
 			r.violate(now, Answer, rec.Gateway, rec, "served with something that no backend made for it %s", body)
 		}
-	case (status == 429 || status == 503) && mayRun:
-		if rec.class.Effect == "once" || rec.class.Effect == "by_key" && rec.class.Scope != "all" {
-			r.violate(now, Refusal, rec.Gateway, rec, "refused with %d though an attempt may have run", status)
-		}
+	case (status == 429 || status == 503) && mayRun && bound:
+		r.violate(now, Refusal, rec.Gateway, rec, "refused with %d though an attempt may have run", status)
 	}
 }
 
@@ -503,10 +598,11 @@
 	r.violate(now, Twice, g, r.open[id], "more came behind its answer")
 }
 
-// Pressed judges work that comes to a backend, also such as it turns away, and
-// says whether it falls over.
-func (r *Referee) Pressed(now time.Duration, g, n int, work, mean, capacity float64) (falls bool) {
+// Pressed judges work that comes to a backend, one of so many that run, also such
+// as it turns away, and says whether it falls over.
+func (r *Referee) Pressed(now time.Duration, g, n, running int, work, mean, capacity float64) (falls bool) {
 	b := r.backends[n]
+	even := r.load.add(now, work, r.s.Backend.OverloadFor.D()) / float64(max(running, 1))
 	if !b.cold || b.fallen || now-b.started > r.s.Backend.Cold.D() {
 		b.cold = false
 		b.window = nil
@@ -528,6 +624,11 @@
 	}
 	multiple := r.s.Backend.ColdMultiple
 	budget := multiple*capacity*length.Seconds() + coldSlack*mean
+	r.coldMost = max(r.coldMost, b.aware/budget)
+	if even > budget && !b.tried {
+		b.tried = true
+		r.tried[Cold]++
+	}
 	if b.sum <= budget {
 		return false
 	}
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -73,7 +73,7 @@
 			was, bytes := store.Stats(), s.figures.bytes.Load()
 			b.ResetTimer()
 			for n := range b.N {
-				version, err := s.change(func(now time.Duration) (int64, error) {
+				written, err := s.change(func(now time.Duration) (Written, error) {
 					s.wokenAt = time.Time{} // no waiting for further changes
 					return store.Register(now, inst(fmt.Sprint("instance-", n%200), int64(n+2)), nil)
 				})
@@ -81,8 +81,8 @@
 					b.Fatal(err)
 				}
 				for range watchers {
-					if v := <-told; v != version {
-						b.Fatalf("told of %d, not %d", v, version)
+					if v := <-told; v != written.Version {
+						b.Fatalf("told of %d, not %d", v, written.Version)
 					}
 				}
 				for s.figures.watchers.Load() < int64(watchers) {
@@ -197,7 +197,7 @@
 				for n := range writers {
 					wg.Go(func() {
 						for started := next.Add(1); started <= int64(b.N); started = next.Add(1) {
-							_, err := s.writeChange(func(now time.Duration) (int64, error) {
+							_, err := s.writeChange(func(now time.Duration) (Written, error) {
 								return s.store.Register(now, inst(fmt.Sprint("s-", n), started), nil)
 							})
 							if err != nil {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -57,9 +57,9 @@
 
 // heard copies what the writer tells.
 func (f *Follower) heard(told Told) {
-	_, err := f.change(func(now time.Duration) (int64, error) {
+	_, err := f.change(func(now time.Duration) (Written, error) {
 		if f.store.writes || f.left() {
-			return 0, nil // promoted meanwhile, or at the end
+			return Written{}, nil // promoted meanwhile, or at the end
 		}
 		if told.History != f.store.history {
 			slog.Info("history", "name", told.History, "version", told.Generation, "before", f.store.history)
@@ -72,7 +72,7 @@
 				slog.Error("the copy is not kept", "error", err)
 			}
 		}
-		return 0, f.store.Copy(now, told.Listing, told.History)
+		return Written{}, f.store.Copy(now, told.Listing, told.History)
 	})
 	if err != nil {
 		slog.Error("copy", "error", err)
--- a/internal/registry/instance.go
+++ b/internal/registry/instance.go
@@ -41,6 +41,7 @@
 	Lifecycle   Lifecycle `json:"lifecycle"`
 	Weight      float64   `json:"weight"`
 	StartedAtMs int64     `json:"startedAtMs"`
+	Drained     bool      `json:"drained,omitempty"` // of one that is Gone: it was draining, and so is its process if it returns
 }
 
 // Lifecycle is what an instance does.
@@ -84,6 +85,8 @@
 		return fmt.Errorf("weight: %g is out of range", i.Weight)
 	case i.StartedAtMs < 0 || i.StartedAtMs > mostStart:
 		return fmt.Errorf("startedAtMs: %d is out of range", i.StartedAtMs)
+	case i.Drained && i.Lifecycle != Gone:
+		return fmt.Errorf("drained: %s is %s, not Gone", i.ID, i.Lifecycle)
 	}
 	return nil
 }
--- a/internal/registry/keeper.go
+++ b/internal/registry/keeper.go
@@ -36,8 +36,8 @@
 
 // job is a call that somebody waits for.
 type job struct {
-	f       func(now time.Duration) (int64, error)
-	version int64
+	f       func(now time.Duration) (Written, error)
+	written Written
 	err     error
 	done    chan struct{}
 }
@@ -92,22 +92,22 @@
 }
 
 // do makes a call and waits until what it changes lasts.
-func (k *keeper) do(f func(now time.Duration) (int64, error)) (int64, error) {
+func (k *keeper) do(f func(now time.Duration) (Written, error)) (Written, error) {
 	c := &job{f: f, done: make(chan struct{})}
 	late := time.NewTimer(keptWithin)
 	defer late.Stop()
 	select {
 	case k.calls <- c:
 	case <-late.C:
-		return 0, refuse(http.StatusServiceUnavailable, "the disk does not keep up")
+		return Written{}, refuse(http.StatusServiceUnavailable, "the disk does not keep up")
 	case <-k.s.ended:
-		return 0, refuse(http.StatusServiceUnavailable, "the service has ended")
+		return Written{}, refuse(http.StatusServiceUnavailable, "the service has ended")
 	}
 	select {
 	case <-c.done:
-		return c.version, c.err
+		return c.written, c.err
 	case <-late.C:
-		return 0, refuse(http.StatusServiceUnavailable, "the disk does not answer; the change may be kept")
+		return Written{}, refuse(http.StatusServiceUnavailable, "the disk does not answer; the change may be kept")
 	}
 }
 
@@ -148,11 +148,11 @@
 
 // tick is the call that lets leases lapse.
 func (k *keeper) tick() *job {
-	return &job{done: make(chan struct{}), f: func(now time.Duration) (int64, error) {
+	return &job{done: make(chan struct{}), f: func(now time.Duration) (Written, error) {
 		if !k.s.store.writes || k.s.store.fence != nil {
-			return 0, nil
+			return Written{}, nil
 		}
-		return 0, k.s.store.Tick(now)
+		return Written{}, k.s.store.Tick(now)
 	}}
 }
 
@@ -169,7 +169,7 @@
 			break
 		}
 		before := len(k.s.store.staged)
-		c.version, c.err = c.f(k.s.now())
+		c.written, c.err = c.f(k.s.now())
 		for _, staged := range k.s.store.staged[before:] {
 			bytes += len(staged.text)
 		}
--- a/internal/registry/keeper_test.go
+++ b/internal/registry/keeper_test.go
@@ -152,7 +152,7 @@
 		wg.Go(func() {
 			for started := range int64(10) {
 				id := fmt.Sprint("s-", n)
-				_, err := s.writeChange(func(now time.Duration) (int64, error) {
+				_, err := s.writeChange(func(now time.Duration) (Written, error) {
 					return s.store.Register(now, inst(id, started+1), nil)
 				})
 				if err != nil {
--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -112,7 +112,7 @@
 			if r.Change.Version <= s.from {
 				return fmt.Errorf("version %d is not behind %d", r.Change.Version, s.from)
 			}
-			s.remember(change{r.Change.Version, i.ID, i.StartedAtMs, r.Change.Instance}, i.Lifecycle == Gone && s.entries[i.ID] == nil)
+			s.remember(change{r.Change.Version, i.ID, i.StartedAtMs, i.Drained, r.Change.Instance}, i.Lifecycle == Gone && s.entries[i.ID] == nil)
 			return nil
 		}
 		s.putText(i, r.Change.Instance, r.Change.Version, now)
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -101,7 +101,7 @@
 		case s.writer.Load() != nil:
 			continue // the writer's to say
 		}
-		if _, err := s.change(func(now time.Duration) (int64, error) { return 0, s.store.Tick(now) }); err != nil {
+		if _, err := s.change(func(now time.Duration) (Written, error) { return Written{}, s.store.Tick(now) }); err != nil {
 			slog.Error("lapses", "error", err)
 		}
 		s.tellLapses()
@@ -125,10 +125,10 @@
 }
 
 // writeChange makes a change, which lasts when it returns where changes are kept.
-func (s *Server) writeChange(f func(now time.Duration) (int64, error)) (version int64, err error) {
-	fenced := func(now time.Duration) (int64, error) {
+func (s *Server) writeChange(f func(now time.Duration) (Written, error)) (Written, error) {
+	fenced := func(now time.Duration) (Written, error) {
 		if err := s.refuseFenced(); err != nil {
-			return 0, err
+			return Written{}, err
 		}
 		return f(now)
 	}
@@ -139,18 +139,18 @@
 }
 
 // change does something with the store and wakes the watchers if that made news.
-func (s *Server) change(f func(now time.Duration) (int64, error)) (version int64, err error) {
+func (s *Server) change(f func(now time.Duration) (Written, error)) (Written, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, history, pauses := s.store.version, s.store.history, s.store.stats.Pauses
-	version, err = f(s.now())
+	written, err := f(s.now())
 	if s.store.version != before || s.store.history != history {
 		s.wake()
 	}
 	if s.store.stats.Pauses != pauses {
 		slog.Warn("the service stood still; all leases begin anew")
 	}
-	return version, err
+	return written, err
 }
 
 // wake lets the watchers look. Changes that come close together are told at once.
@@ -183,7 +183,7 @@
 	mux.HandleFunc("GET "+Path, s.read)
 	mux.HandleFunc("GET "+FencePath, s.fenceHandler)
 	mux.HandleFunc("POST "+FencePath, s.fenceHandler)
-	for pattern, f := range map[string]func(id string, r *http.Request) (int64, error){
+	for pattern, f := range map[string]func(id string, r *http.Request) (Written, error){
 		"PUT " + Path + "/{id}":            s.register,
 		"POST " + Path + "/{id}/renew":     s.renew,
 		"POST " + Path + "/{id}/lifecycle": s.lifecycle,
@@ -198,14 +198,14 @@
 			// A time-out of the server's own would end watches too.
 			control := http.NewResponseController(w)
 			control.SetReadDeadline(time.Now().Add(readWait))
-			version, err := f(r.PathValue("id"), r)
+			written, err := f(r.PathValue("id"), r)
 			if err != nil {
 				w.Header().Set("Connection", "close") // the rest of its body may still come
 				s.fail(w, err)
 				return
 			}
 			control.SetReadDeadline(time.Time{})
-			s.write(w, fmt.Appendf(nil, `{"version":%d,"leaseMs":%d}`+"\n", version, s.lease().Milliseconds()))
+			s.write(w, fmt.Appendf(nil, `{"version":%d,"lifecycle":%q,"leaseMs":%d}`+"\n", written.Version, written.Lifecycle, s.lease().Milliseconds()))
 		})
 	}
 	return mux
@@ -243,61 +243,58 @@
 	return c, nil
 }
 
-func (s *Server) register(id string, r *http.Request) (int64, error) {
+func (s *Server) register(id string, r *http.Request) (Written, error) {
 	c, err := readCall(r)
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	i := Instance{ID: id, HostPort: c.HostPort, Zone: c.Zone, MachineType: c.MachineType, Cell: c.Cell,
 		Lifecycle: c.Lifecycle, Weight: 1, StartedAtMs: *c.StartedAtMs}
 	if c.Weight != nil {
 		i.Weight = *c.Weight
 	}
-	if i.Lifecycle == "" {
-		i.Lifecycle = Ready
-	}
-	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Register(now, i, c.IfVersion) })
+	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Register(now, i, c.IfVersion) })
 }
 
-func (s *Server) renew(id string, r *http.Request) (int64, error) {
+func (s *Server) renew(id string, r *http.Request) (Written, error) {
 	c, err := readCall(r)
 	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs}) {
 		err = refuse(http.StatusBadRequest, "a renewal has startedAtMs alone")
 	}
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
-	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
+	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
 }
 
-func (s *Server) lifecycle(id string, r *http.Request) (int64, error) {
+func (s *Server) lifecycle(id string, r *http.Request) (Written, error) {
 	c, err := readCall(r)
 	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs, Lifecycle: c.Lifecycle, IfVersion: c.IfVersion}) {
 		err = refuse(http.StatusBadRequest, "a change of lifecycle has lifecycle, startedAtMs and ifVersion alone")
 	}
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
-	return s.writeChange(func(now time.Duration) (int64, error) {
+	return s.writeChange(func(now time.Duration) (Written, error) {
 		return s.store.SetLifecycle(now, id, *c.StartedAtMs, c.Lifecycle, c.IfVersion)
 	})
 }
 
-func (s *Server) leave(id string, r *http.Request) (int64, error) {
+func (s *Server) leave(id string, r *http.Request) (Written, error) {
 	started, err := number(r, "startedAtMs", 0, mostStart)
 	if err == nil && started < 0 {
 		err = refuse(http.StatusBadRequest, "startedAtMs is missing")
 	}
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	var expect *int64
 	if version, err := number(r, "ifVersion", 0, mostStart); err != nil {
-		return 0, err
+		return Written{}, err
 	} else if version >= 0 {
 		expect = &version
 	}
-	return s.writeChange(func(now time.Duration) (int64, error) { return s.store.Leave(now, id, started, expect) })
+	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Leave(now, id, started, expect) })
 }
 
 // number reads a number of a call's query; -1: it names none.
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -139,7 +139,7 @@
 	told := make(chan Listing, 1)
 	go func() { told <- s.list(t, "?since=1001&timeout_ms=60000&history=h1") }()
 	until(t, "a watcher", func() bool { return s.figures.watchers.Load() == 1 })
-	if code, text, _ := call(t, "POST", s.url("/s-1/lifecycle"), `{"lifecycle":"Terminating","startedAtMs":7,"ifVersion":1001}`); code != 200 || text != `{"version":1002,"leaseMs":10000}`+"\n" {
+	if code, text, _ := call(t, "POST", s.url("/s-1/lifecycle"), `{"lifecycle":"Terminating","startedAtMs":7,"ifVersion":1001}`); code != 200 || text != `{"version":1002,"lifecycle":"Terminating","leaseMs":10000}`+"\n" {
 		t.Errorf("status %d: %s", code, text)
 	}
 	if l := <-told; l.Generation != 1002 || l.Reset || len(l.Instances) != 1 || l.Instances[0].Lifecycle != Terminating {
@@ -191,6 +191,7 @@
 		{"PUT", "/s%0a2", registration(8), 400},
 		{"PUT", "/s-1", registration(6), 409},
 		{"PUT", "/s-1", reg(`"zone"`, `"ifVersion":5,"zone"`), 412},
+		{"PUT", "/s-2", reg(`"zone"`, `"drained":true,"zone"`), 400},
 		{"POST", "/s-1/renew", `{"startedAtMs":6}`, 409},
 		{"POST", "/s-1/renew", `{"startedAtMs":7,"zone":"b"}`, 400},
 		{"POST", "/s-2/renew", `{"startedAtMs":7}`, 404},
@@ -251,13 +252,13 @@
 	}
 	until(t, "all watch", func() bool { return s.figures.watchers.Load() == watchers })
 	before := s.store.Stats()
-	s.change(func(now time.Duration) (int64, error) {
+	s.change(func(now time.Duration) (Written, error) {
 		for n := range int64(changes) {
 			if _, err := s.store.Register(now, inst(fmt.Sprint(n%40), n), nil); err != nil {
-				return 0, err
+				return Written{}, err
 			}
 		}
-		return 0, nil
+		return Written{}, nil
 	})
 	for n, w := range all {
 		until(t, "a watcher is at the last version", func() bool { return w.version.Load() == 1000+changes })
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -92,9 +92,16 @@
 	version int64
 	id      string
 	started int64
+	drained bool
 	text    []byte
 }
 
+// Written is what a call came to, and how the instance stands then.
+type Written struct {
+	Version   int64
+	Lifecycle Lifecycle
+}
+
 // stagedChange is one that does not last yet.
 type stagedChange struct {
 	instance Instance
@@ -145,7 +152,7 @@
 		s.entries[i.ID] = &entry{Instance: i, version: version, text: text, expires: now + s.limits.Lease}
 		delete(s.gone, i.ID)
 	}
-	s.remember(change{version, i.ID, i.StartedAtMs, text}, i.Lifecycle == Gone)
+	s.remember(change{version, i.ID, i.StartedAtMs, i.Drained, text}, i.Lifecycle == Gone)
 }
 
 // remember puts a change into the history, which forgets the oldest for it.
@@ -167,20 +174,24 @@
 	}
 }
 
-// commit takes a change in, or stages it, and returns its version.
-func (s *Store) commit(i Instance, now time.Duration) (int64, error) {
+// commit takes a change in, or stages it. One that goes keeps whether it drained.
+func (s *Store) commit(i Instance, now time.Duration) (Written, error) {
+	if e := s.entries[i.ID]; e != nil && i.Lifecycle == Gone {
+		i.Drained = e.Lifecycle == Terminating
+	}
 	version := s.version + int64(len(s.staged)) + 1
+	done := Written{version, i.Lifecycle}
 	if !s.staging {
-		return version, s.put(i, version, now)
+		return done, s.put(i, version, now)
 	}
 	text, err := json.Marshal(i)
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	s.stats.Encoded++
 	s.staged = append(s.staged, stagedChange{i, version, text})
 	s.pending[i.ID] = true
-	return version, nil
+	return done, nil
 }
 
 // expected holds a write to the version that it names, if it does.
@@ -195,41 +206,54 @@
 	return nil
 }
 
-// Register puts an instance on the list, or renews it if it is there as it is. It
-// returns the instance's version. Of a process that is there already, the
-// lifecycle stays: a registration that is made again must not undo a drain.
-func (s *Store) Register(now time.Duration, i Instance, expect *int64) (int64, error) {
+// Register puts an instance on the list, or renews it if it is there as it is. A
+// registration without a lifecycle leaves that as it is, Ready at first.
+//
+// Danger: a registration that is made again, or comes late, must not undo a drain,
+// nor may a lapse in between. So one that says Ready of a process that drains is
+// refused; SetLifecycle alone ends a drain.
+func (s *Store) Register(now time.Duration, i Instance, expect *int64) (Written, error) {
+	says := i.Lifecycle
+	if says == "" {
+		i.Lifecycle = Ready
+	}
 	if err := i.check(); err != nil {
-		return 0, refuse(http.StatusBadRequest, "%v", err)
+		return Written{}, refuse(http.StatusBadRequest, "%v", err)
 	}
 	if i.Lifecycle == Gone {
-		return 0, refuse(http.StatusBadRequest, "lifecycle: an instance that is Gone leaves")
+		return Written{}, refuse(http.StatusBadRequest, "lifecycle: an instance that is Gone leaves")
 	}
 	if s.pending[i.ID] {
-		return 0, errPending
+		return Written{}, errPending
 	}
 	if err := s.expected(i.ID, expect); err != nil {
-		return 0, err
+		return Written{}, err
 	}
-	e := s.entries[i.ID]
+	e, last := s.entries[i.ID], s.gone[i.ID]
+	drains := false
 	switch {
+	case e == nil && last.started > i.StartedAtMs:
+		return Written{}, refuse(http.StatusConflict, "%s has been on the list with a later start, %d", i.ID, last.started)
+	case e == nil && len(s.entries)+len(s.staged) >= s.limits.Instances:
+		return Written{}, refuse(http.StatusConflict, "the list is full with %d instances", len(s.entries))
 	case e == nil:
-		if last, was := s.gone[i.ID]; was && last.started > i.StartedAtMs {
-			return 0, refuse(http.StatusConflict, "%s has been on the list with a later start, %d", i.ID, last.started)
-		}
-		if len(s.entries)+len(s.staged) >= s.limits.Instances {
-			return 0, refuse(http.StatusConflict, "the list is full with %d instances", len(s.entries))
-		}
+		drains = last.drained && last.started == i.StartedAtMs
 	case e.StartedAtMs > i.StartedAtMs:
-		return 0, refuse(http.StatusConflict, "%s is on the list with a later start, %d", i.ID, e.StartedAtMs)
+		return Written{}, refuse(http.StatusConflict, "%s is on the list with a later start, %d", i.ID, e.StartedAtMs)
 	case e.StartedAtMs == i.StartedAtMs && e.HostPort != i.HostPort:
-		return 0, refuse(http.StatusConflict, "%s is on the list with the same start at %s", i.ID, e.HostPort)
+		return Written{}, refuse(http.StatusConflict, "%s is on the list with the same start at %s", i.ID, e.HostPort)
 	case e.StartedAtMs == i.StartedAtMs:
-		i.Lifecycle = e.Lifecycle
-		if i == e.Instance {
-			s.renew(now, e)
-			return e.version, nil
-		}
+		drains = e.Lifecycle == Terminating
+	}
+	switch {
+	case drains && says == Ready:
+		return Written{}, refuse(http.StatusConflict, "%s drains; a change of its lifecycle to Ready ends that, no registration does", i.ID)
+	case drains:
+		i.Lifecycle = Terminating
+	}
+	if e != nil && i == e.Instance {
+		s.renew(now, e)
+		return e.written(), nil
 	}
 	s.stats.Registered++
 	return s.commit(i, now)
@@ -251,35 +275,37 @@
 }
 
 // Renew begins an instance's lease anew.
-func (s *Store) Renew(now time.Duration, id string, started int64) (int64, error) {
+func (s *Store) Renew(now time.Duration, id string, started int64) (Written, error) {
 	e, err := s.own(id, started)
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	s.renew(now, e)
-	return e.version, nil
+	return e.written(), nil
 }
 
+func (e *entry) written() Written { return Written{e.version, e.Lifecycle} }
+
 func (s *Store) renew(now time.Duration, e *entry) {
 	e.expires = now + s.limits.Lease
 	s.stats.Renewed++
 }
 
 // SetLifecycle changes what an instance does, and renews it.
-func (s *Store) SetLifecycle(now time.Duration, id string, started int64, l Lifecycle, expect *int64) (int64, error) {
+func (s *Store) SetLifecycle(now time.Duration, id string, started int64, l Lifecycle, expect *int64) (Written, error) {
 	if l != Ready && l != Terminating {
-		return 0, refuse(http.StatusBadRequest, "lifecycle: %.80q is not Ready or Terminating", l)
+		return Written{}, refuse(http.StatusBadRequest, "lifecycle: %.80q is not Ready or Terminating", l)
 	}
 	e, err := s.own(id, started)
 	if err == nil {
 		err = s.expected(id, expect)
 	}
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	if e.Lifecycle == l {
 		s.renew(now, e)
-		return e.version, nil
+		return e.written(), nil
 	}
 	i := e.Instance
 	i.Lifecycle = l
@@ -287,16 +313,16 @@
 }
 
 // Leave takes an instance off the list. One that is not there has left.
-func (s *Store) Leave(now time.Duration, id string, started int64, expect *int64) (int64, error) {
+func (s *Store) Leave(now time.Duration, id string, started int64, expect *int64) (Written, error) {
 	if s.entries[id] == nil && !s.pending[id] {
-		return s.version, nil
+		return Written{s.version, Gone}, nil
 	}
 	e, err := s.own(id, started)
 	if err == nil {
 		err = s.expected(id, expect)
 	}
 	if err != nil {
-		return 0, err
+		return Written{}, err
 	}
 	i := e.Instance
 	i.Lifecycle = Gone
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -58,37 +58,36 @@
 	gone := inst("z", 1)
 	gone.Lifecycle = Gone
 	for n, step := range []struct {
-		do      func() (int64, error)
+		do      func() (Written, error)
 		status  int // 0: done
 		version int64
 	}{
-		{func() (int64, error) { return s.Register(0, inst("a", 5), p(7)) }, http.StatusPreconditionFailed, 1000},
-		{func() (int64, error) { return s.Register(0, inst("a", 5), p(0)) }, 0, 1001},
-		{func() (int64, error) { return s.Register(0, inst("a", 5), nil) }, 0, 1001},                   // again
-		{func() (int64, error) { return s.Register(0, moved, nil) }, http.StatusConflict, 1001},        // two processes, one start
-		{func() (int64, error) { return s.Register(0, inst("a", 4), nil) }, http.StatusConflict, 1001}, // an old one
-		{func() (int64, error) { return s.Register(0, weighty, p(1001)) }, 0, 1002},
-		{func() (int64, error) { return s.Renew(0, "a", 4) }, http.StatusConflict, 1002},
-		{func() (int64, error) { return s.Renew(0, "b", 4) }, http.StatusNotFound, 1002},
-		{func() (int64, error) { return s.Renew(0, "a", 5) }, 0, 1002},
-		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, "Asleep", nil) }, http.StatusBadRequest, 1002},
-		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1001)) }, http.StatusPreconditionFailed, 1002},
-		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1002)) }, 0, 1003},
-		{func() (int64, error) { return s.SetLifecycle(0, "a", 5, Terminating, nil) }, 0, 1003},
-		{func() (int64, error) { return s.Register(0, weighty, nil) }, 0, 1003}, // does not undo the drain
-		{func() (int64, error) { return s.Register(0, inst("a", 6), nil) }, 0, 1004},
-		{func() (int64, error) { return s.Renew(0, "a", 5) }, http.StatusConflict, 1004}, // the old process
-		{func() (int64, error) { return s.Leave(0, "a", 5, nil) }, http.StatusConflict, 1004},
-		{func() (int64, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
-		{func() (int64, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
-		{func() (int64, error) { return s.Register(0, inst("a", 5), nil) }, http.StatusConflict, 1005}, // back from the dead
-		{func() (int64, error) { i := moved; i.StartedAtMs = 7; return s.Register(0, i, nil) }, 0, 1006},
-		{func() (int64, error) { return s.Register(0, gone, nil) }, http.StatusBadRequest, 1006},
+		{func() (Written, error) { return s.Register(0, inst("a", 5), p(7)) }, http.StatusPreconditionFailed, 1000},
+		{func() (Written, error) { return s.Register(0, inst("a", 5), p(0)) }, 0, 1001},
+		{func() (Written, error) { return s.Register(0, inst("a", 5), nil) }, 0, 1001},                   // again
+		{func() (Written, error) { return s.Register(0, moved, nil) }, http.StatusConflict, 1001},        // two processes, one start
+		{func() (Written, error) { return s.Register(0, inst("a", 4), nil) }, http.StatusConflict, 1001}, // an old one
+		{func() (Written, error) { return s.Register(0, weighty, p(1001)) }, 0, 1002},
+		{func() (Written, error) { return s.Renew(0, "a", 4) }, http.StatusConflict, 1002},
+		{func() (Written, error) { return s.Renew(0, "b", 4) }, http.StatusNotFound, 1002},
+		{func() (Written, error) { return s.Renew(0, "a", 5) }, 0, 1002},
+		{func() (Written, error) { return s.SetLifecycle(0, "a", 5, "Asleep", nil) }, http.StatusBadRequest, 1002},
+		{func() (Written, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1001)) }, http.StatusPreconditionFailed, 1002},
+		{func() (Written, error) { return s.SetLifecycle(0, "a", 5, Terminating, p(1002)) }, 0, 1003},
+		{func() (Written, error) { return s.SetLifecycle(0, "a", 5, Terminating, nil) }, 0, 1003},
+		{func() (Written, error) { return s.Register(0, inst("a", 6), nil) }, 0, 1004},
+		{func() (Written, error) { return s.Renew(0, "a", 5) }, http.StatusConflict, 1004}, // the old process
+		{func() (Written, error) { return s.Leave(0, "a", 5, nil) }, http.StatusConflict, 1004},
+		{func() (Written, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
+		{func() (Written, error) { return s.Leave(0, "a", 6, nil) }, 0, 1005},
+		{func() (Written, error) { return s.Register(0, inst("a", 5), nil) }, http.StatusConflict, 1005}, // back from the dead
+		{func() (Written, error) { i := moved; i.StartedAtMs = 7; return s.Register(0, i, nil) }, 0, 1006},
+		{func() (Written, error) { return s.Register(0, gone, nil) }, http.StatusBadRequest, 1006},
 	} {
-		version, err := step.do()
+		written, err := step.do()
 		if status(err) != step.status || (err == nil) != (step.status == 0) || s.version != step.version ||
-			err == nil && version != s.version {
-			t.Fatalf("step %d: %v, version %d of %d; want status %d, version %d", n, err, version, s.version, step.status, step.version)
+			err == nil && written.Version != s.version {
+			t.Fatalf("step %d: %v, version %d of %d; want status %d, version %d", n, err, written.Version, s.version, step.status, step.version)
 		}
 	}
 	for i := len(s.entries); i < testLimits.Instances; i++ {
@@ -101,6 +100,132 @@
 	}
 }
 
+// Each state of an instance meets each call, through every way in which a list comes
+// to be: the state that follows is the one in the table, and a call is answered as
+// done only if what it asked for holds then.
+func TestLifecycles(t *testing.T) {
+	absent := Lifecycle("")
+	const lapsed, drained = Lifecycle("lapsed"), Lifecycle("lapsed in a drain")
+	register := func(says Lifecycle) func(*Store) (Written, error) {
+		return func(s *Store) (Written, error) {
+			i := inst("a", 5)
+			i.Lifecycle = says
+			return s.Register(0, i, nil)
+		}
+	}
+	set := func(l Lifecycle) func(*Store) (Written, error) {
+		return func(s *Store) (Written, error) { return s.SetLifecycle(0, "a", 5, l, nil) }
+	}
+	later := func(s *Store) (Written, error) { return s.Register(0, inst("a", 6), nil) }
+	calls := []struct {
+		name string
+		do   func(*Store) (Written, error)
+		asks Lifecycle // empty: whatever there is
+		then map[Lifecycle]Lifecycle
+	}{
+		{"PUT", register(""), "", map[Lifecycle]Lifecycle{absent: Ready, Ready: Ready, Terminating: Terminating, lapsed: Ready, drained: Terminating}},
+		{"PUT Ready", register(Ready), Ready, map[Lifecycle]Lifecycle{absent: Ready, Ready: Ready, lapsed: Ready}},
+		{"PUT Terminating", register(Terminating), Terminating, map[Lifecycle]Lifecycle{absent: Terminating, Ready: Terminating, Terminating: Terminating, lapsed: Terminating, drained: Terminating}},
+		{"PUT of a later start", later, Ready, map[Lifecycle]Lifecycle{absent: Ready, Ready: Ready, Terminating: Ready, lapsed: Ready, drained: Ready}},
+		{"lifecycle Ready", set(Ready), Ready, map[Lifecycle]Lifecycle{Ready: Ready, Terminating: Ready}},
+		{"lifecycle Terminating", set(Terminating), Terminating, map[Lifecycle]Lifecycle{Ready: Terminating, Terminating: Terminating}},
+		{"renew", func(s *Store) (Written, error) { return s.Renew(0, "a", 5) }, "", map[Lifecycle]Lifecycle{Ready: Ready, Terminating: Terminating}},
+		{"DELETE", func(s *Store) (Written, error) { return s.Leave(0, "a", 5, nil) }, Gone, map[Lifecycle]Lifecycle{absent: Gone, Ready: Gone, Terminating: Gone, lapsed: Gone, drained: Gone}},
+	}
+	ways := []string{"as it is", "from a snapshot", "from the log", "of a follower", "after promotion", "staged, then kept"}
+	state := func(s *Store) Lifecycle {
+		if e := s.entries["a"]; e != nil {
+			return e.Lifecycle
+		}
+		return Gone
+	}
+	for _, from := range []Lifecycle{absent, Ready, Terminating, lapsed, drained} {
+		for _, way := range ways {
+			for _, c := range calls {
+				s := newTestStore(testLimits, 0)
+				s.Register(0, inst("b", 1), nil)
+				log := s.Save()
+				follower := newStore(testLimits, 0)
+				step := func(written Written, err error) {
+					if err != nil {
+						t.Fatal(err)
+					}
+				}
+				copied := func() {
+					a, err := s.Read(0, max(follower.version, -1), s.history)
+					if err != nil {
+						t.Fatal(err)
+					}
+					l, err := ParseListing(a.Body)
+					if err == nil {
+						err = follower.Copy(0, l, s.history)
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+				}
+				follower.version = -1
+				copied()
+				if from != absent {
+					step(register("")(s))
+				}
+				if from == Terminating || from == drained {
+					copied()
+					step(set(Terminating)(s))
+				}
+				if from == lapsed || from == drained {
+					copied()
+					s.credit, s.ticked, s.entries["a"].expires = 1, 0, 0
+					s.entries["b"].expires = time.Hour
+					if err := s.Tick(0); err != nil || s.entries["a"] != nil {
+						t.Fatalf("no lapse: %v", err)
+					}
+				}
+				copied()
+				want, done := c.then[from]
+				switch way {
+				case "from the log":
+					again := newStore(testLimits, 0)
+					for _, r := range log {
+						step(Written{}, again.Restore(0, r))
+					}
+					for _, kept := range s.changes {
+						if kept.version > again.version {
+							step(Written{}, again.Restore(0, Saved{Change: &SavedInstance{kept.version, kept.text}}))
+						}
+					}
+					s = again
+				case "of a follower":
+					follower.from = 0
+					s = follower
+				case "after promotion":
+					step(Written{}, follower.Restore(0, follower.Promote(0, "h2", 1)))
+					s = follower
+					// What has gone is not known any more: it is as if it had never been.
+					if from == drained {
+						want, done = c.then[absent]
+					}
+				case "staged, then kept":
+					s.Stage()
+				case "from a snapshot":
+					s = restarted(t, s, 0)
+				}
+				written, err := c.do(s)
+				s.Settle(0)
+				name := fmt.Sprintf("%s, %s, %q", way, c.name, from)
+				switch {
+				case !done:
+					if code := status(err); code != http.StatusConflict && code != http.StatusNotFound {
+						t.Errorf("%s: %+v, %v", name, written, err)
+					}
+				case err != nil || written.Lifecycle != want || state(s) != want || c.asks != "" && c.asks != want:
+					t.Errorf("%s: %+v, %v, then %s; want %s", name, written, err, state(s), want)
+				}
+			}
+		}
+	}
+}
+
 // What does not last yet is not told, and has not happened if it is dropped.
 func TestStagedChanges(t *testing.T) {
 	s := newTestStore(testLimits, 0)
@@ -109,19 +234,19 @@
 	before, _ := s.Read(0, -1, "")
 	stage := func() {
 		t.Helper()
-		for n, do := range []func() (int64, error){
-			func() (int64, error) { return s.Register(0, inst("b", 1), nil) },
-			func() (int64, error) { return s.SetLifecycle(0, "a", 1, Terminating, nil) },
-			func() (int64, error) { return s.Register(0, inst("c", 1), nil) },
+		for n, do := range []func() (Written, error){
+			func() (Written, error) { return s.Register(0, inst("b", 1), nil) },
+			func() (Written, error) { return s.SetLifecycle(0, "a", 1, Terminating, nil) },
+			func() (Written, error) { return s.Register(0, inst("c", 1), nil) },
 		} {
-			if version, err := do(); err != nil || version != s.version+int64(n)+1 {
-				t.Errorf("%d: version %d, %v", n, version, err)
+			if written, err := do(); err != nil || written.Version != s.version+int64(n)+1 {
+				t.Errorf("%d: %+v, %v", n, written, err)
 			}
 		}
-		for _, do := range []func() (int64, error){
-			func() (int64, error) { return s.Register(0, inst("b", 2), nil) },
-			func() (int64, error) { return s.Renew(0, "a", 1) },
-			func() (int64, error) { return s.Leave(0, "c", 1, nil) },
+		for _, do := range []func() (Written, error){
+			func() (Written, error) { return s.Register(0, inst("b", 2), nil) },
+			func() (Written, error) { return s.Renew(0, "a", 1) },
+			func() (Written, error) { return s.Leave(0, "c", 1, nil) },
 		} {
 			if _, err := do(); err != errPending {
 				t.Errorf("of one that is being changed: %v", err)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -15,6 +15,7 @@
 	Name     string   `toml:"name"`
 	Seed     uint64   `toml:"seed"`     // of all that is drawn
 	Duration Duration `toml:"duration"` // for which first tries arrive
+	Tried    []string `toml:"tried"`    // rules that the day is there to try: a play in which one was not fails
 
 	Fleet   Fleet   `toml:"fleet"`
 	Backend Backend `toml:"backend"`
@@ -171,6 +172,7 @@
 	"cut":            {Zone: true, What: "a zone is cut off from the others, and the counter from all other zones if it stands there"},
 	"counter_silent": {What: "the counter falls silent and comes back empty"},
 	"counter_empty":  {What: "the counter has lost everything at once; for is not used"},
+	"counter_slow":   {Size: "times its usual time for a call", What: "the counter serves calls slowly, and turns more away"},
 	"list_late":      {What: "no list is told"},
 	"list_stale":     {What: "who asks for a whole list gets the one from before"},
 	"writer_killed":  {What: "the list service that writes is killed, and started again after for"},
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -343,7 +343,7 @@
 		j.cost += w.s.Backend.Handshake.Seconds()
 	}
 	j.reply.Body.Size = class.AnswerBytes
-	if w.Judge.Pressed(w.now, c.gateway, b.n, j.cost, class.Work.Seconds(), w.capacity(b)) {
+	if w.Judge.Pressed(w.now, c.gateway, b.n, w.running(), j.cost, class.Work.Seconds(), w.capacity(b)) {
 		w.Tally.Costs.Cold++
 		w.do(Mark{fmt.Sprintf("backend b-%d falls over", b.n)})
 		b.fallen = true
@@ -354,6 +354,16 @@
 	w.after(w.delay(c), func() { w.enter(b, j) })
 }
 
+// running counts the backends that take requests.
+func (w *World) running() (n int) {
+	for _, b := range w.backends {
+		if b.state == running && !b.draining {
+			n++
+		}
+	}
+	return n
+}
+
 // enter is a request's coming to the backend's program.
 func (w *World) enter(b *backend, j *work) {
 	if j.conn == nil || b.state != running {
--- a/internal/world/counter.go
+++ b/internal/world/counter.go
@@ -7,6 +7,7 @@
 	names  map[string]*number
 	free   time.Duration // when it has served all that wait
 	silent int           // faults under which it says nothing
+	slow   float64       // times its usual time for a call; 0: 1
 	lives  int
 }
 
@@ -23,7 +24,7 @@
 	w.Tally.Costs.Calls++
 	c.idle = w.now
 	n := &w.counter
-	each := time.Duration(1e9 / w.s.Counter.CallsPerS)
+	each := time.Duration(1e9 / w.s.Counter.CallsPerS * max(w.counter.slow, 1))
 	delay := w.s.Counter.Delay.D()/2 + w.delay(c)
 	n.free = max(n.free, w.now+delay) // the call's way there
 	answer := Total{Conn: c.id, Status: 503}
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dunlintray/internal/referee"
 	"dunlintray/internal/scenario"
 )
 
@@ -40,14 +41,24 @@
 		})
 	case "counter_silent":
 		w.counter.silent++
+		w.Judge.Counter(w.now, referee.CounterSilent)
 		w.relink()
 		end(func() {
 			w.counter.silent--
 			w.counter.empty()
+			w.Judge.Counter(w.now, referee.CounterEmpty)
 			w.relink()
 		})
 	case "counter_empty":
 		w.counter.empty()
+		w.Judge.Counter(w.now, referee.CounterEmpty)
+	case "counter_slow":
+		w.counter.slow = f.Size
+		w.Judge.Counter(w.now, referee.CounterSlow)
+		end(func() {
+			w.counter.slow = 0
+			w.Judge.Counter(w.now, referee.CounterUp)
+		})
 	case "list_late":
 		w.hushed++
 		w.lists()
@@ -62,6 +73,9 @@
 	case "burst": // in load
 	case "rude":
 		for g := range w.gateways {
+			if int(f.Size) > w.s.Fleet.Sockets/2 {
+				w.Judge.Crowded(g, w.now+f.For.D())
+			}
 			w.do(Rude{Gateway: g, Connections: int(f.Size), For: f.For.D()})
 		}
 	}
--- a/internal/world/gateways.go
+++ b/internal/world/gateways.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"dunlintray/internal/referee"
 )
 
 type gatewayState int
@@ -199,12 +201,16 @@
 		}
 		for _, b := range w.Judge.Named(e.Gateway) {
 			if !listed[b] {
-				w.Judge.Told(w.now, e.Gateway, b, false, -1)
+				w.Judge.Told(w.now, e.Gateway, b, referee.Gone, -1)
 			}
 		}
 	}
 	for _, entry := range e.Entries {
 		w.heardOf(e.Gateway, entry)
-		w.Judge.Told(w.now, e.Gateway, entry.Backend, entry.Lifecycle == Serving, entry.Started)
+		w.Judge.Told(w.now, e.Gateway, entry.Backend, states[entry.Lifecycle], entry.Started)
 	}
+	w.Judge.Version(w.now, e.Gateway, e.Version)
 }
+
+// states are the lifecycles as the referee has them.
+var states = map[Lifecycle]referee.State{Serving: referee.Ready, Draining: referee.Draining, Gone: referee.Gone}
--- a/internal/world/peers.go
+++ b/internal/world/peers.go
@@ -8,17 +8,13 @@
 	inbox []quota // what each gateway takes in a second
 }
 
-// mostDatagram is the longest datagram that gateways may send each other.
-const mostDatagram = 256
-
 // Everyone stands for all gateways as the receiver of a datagram.
 const Everyone = -1
 
 func (w *World) datagram(e Datagram) {
 	w.peers.sent++
 	w.Tally.Costs.Datagrams++
-	if e.Bytes > mostDatagram {
-		w.Judge.Oversized(w.now, e.From, e.Bytes)
+	if !w.Judge.Datagram(w.now, e.From, e.Bytes) {
 		return
 	}
 	for to := range w.gateways {
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -71,9 +71,15 @@
 	// Told: a list has been written to a gateway.
 	Told struct {
 		Gateway int
+		Version int64
 		Whole   bool
 		Entries []Entry
 	}
+	// Enlisted: a list service has taken a backend's word, at a version.
+	Enlisted struct {
+		Entry
+		Version int64
+	}
 	// Datagram: a gateway has sent one to another, or to Everyone. The driver
 	// has its bytes.
 	Datagram struct {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -156,6 +156,8 @@
 		w.Judge.Extra(w.now, e.Gateway, e.ID)
 	case Told:
 		w.told(e)
+	case Enlisted:
+		w.Judge.Enlisted(w.now, e.Backend, states[e.Lifecycle], e.Started, e.Version)
 	case Datagram:
 		w.datagram(e)
 	case Ready:
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -89,6 +90,98 @@
 	}
 }
 
+// A rule counts as tried only where gateways could have been seen to break it. The
+// sound ones of the day on which all goes wrong try every rule whose defect that day
+// names, and a day on which nothing happens tries none but those of every request.
+func TestTrials(t *testing.T) {
+	untried := func(s *scenario.Scenario) []string {
+		h := playDoubles(s, "")
+		if _, counts := h.w.Judge.Violations(); len(counts) > 0 {
+			t.Errorf("broken: %v", counts)
+		}
+		return referee.Untried(h.w.Judge.Trials(), referee.Rules())
+	}
+	pressed := func(change func(s *scenario.Scenario)) *scenario.Scenario {
+		s := troubled(3)
+		s.Faults = nil
+		change(s)
+		return s
+	}
+	rules := []string{referee.Copy, referee.Resend, referee.Refusal, referee.Most, referee.Drain, referee.List, referee.Cold, referee.Ceiling, referee.Stop, referee.Peer, referee.Door}
+	for name, c := range map[string]struct {
+		s     *scenario.Scenario
+		tries []string // beside answers, attempts and processes
+	}{
+		"quiet":    {pressed(func(*scenario.Scenario) {}), nil},
+		"troubled": {troubled(3), []string{referee.Copy, referee.Resend, referee.Refusal, referee.Most, referee.Drain, referee.Stop}},
+		"replaced": {pressed(func(s *scenario.Scenario) {
+			s.Faults = []scenario.Fault{{Kind: "replace", At: second, For: second, Part: 0.3}}
+		}), []string{referee.Drain}},
+		"restarted": {pressed(func(s *scenario.Scenario) {
+			s.Faults = []scenario.Fault{{Kind: "restart", At: second, For: second, Part: 1}}
+		}), []string{referee.Stop}},
+		"crowded": {pressed(func(s *scenario.Scenario) {
+			s.Faults = []scenario.Fault{{Kind: "rude", At: second, For: second, Size: float64(s.Fleet.Sockets)}}
+		}), []string{referee.Door}},
+		"few idle peers": {pressed(func(s *scenario.Scenario) {
+			s.Faults = []scenario.Fault{{Kind: "rude", At: second, For: second, Size: 10}}
+		}), nil},
+		"cold": {pressed(func(s *scenario.Scenario) {
+			s.Backend.ColdFrom, s.Faults = 0.01, []scenario.Fault{{Kind: "crash", At: second, For: second, Part: 0.2}}
+		}), []string{referee.Cold}},
+	} {
+		// Attempts that a fault slows or breaks, as some of these may, try those rules too.
+		may := []string{referee.Copy, referee.Resend, referee.Refusal, referee.Most}
+		without := untried(c.s)
+		for _, rule := range rules {
+			if tried := !slices.Contains(without, rule); tried != slices.Contains(c.tries, rule) && (name == "quiet" || !slices.Contains(may, rule)) {
+				t.Errorf("%s: %s tried: %v", name, rule, tried)
+			}
+		}
+	}
+}
+
+// What a list service took has to be in the lists from that version on, and is no
+// more to be judged by once a later process has registered.
+func TestListsAreHeldToTheirWord(t *testing.T) {
+	const draining, started = 3, 5 * time.Second
+	list := func(version int64, whole bool, l Lifecycle, at time.Duration) Told {
+		return Told{Gateway: 0, Version: version, Whole: whole, Entries: []Entry{{Backend: draining, Lifecycle: l, Started: at}}}
+	}
+	for name, c := range map[string]struct {
+		told          []Event // before and after version 7 is known to drain it
+		broken, tried bool
+	}{
+		"told":                    {[]Event{list(7, true, Draining, started)}, false, true},
+		"told among changes":      {[]Event{list(6, true, Serving, started), list(8, false, Draining, started)}, false, true},
+		"an older list":           {[]Event{list(6, true, Serving, started)}, false, false},
+		"dropped":                 {[]Event{list(7, true, Serving, started)}, true, true},
+		"dropped among changes":   {[]Event{list(6, true, Serving, started), Told{Version: 8}}, true, true},
+		"gone from a whole list":  {[]Event{list(6, true, Serving, started), Told{Version: 8, Whole: true}}, false, true},
+		"a later process is told": {[]Event{list(9, true, Serving, 2*started)}, false, false},
+	} {
+		for _, early := range []bool{false, true} {
+			s := troubled(1)
+			w := New(s)
+			word := Enlisted{Entry{Backend: draining, Lifecycle: Draining, Started: started}, 7}
+			if early {
+				w.Step(0, word)
+			}
+			for _, e := range c.told {
+				w.Step(0, e)
+			}
+			if !early {
+				w.Step(0, word)
+			}
+			_, counts := w.Judge.Violations()
+			untried := referee.Untried(w.Judge.Trials(), []string{referee.List})
+			if (counts[referee.List] > 0) != c.broken || (len(untried) == 0) != c.tried {
+				t.Errorf("%s, its word first %v: broken %v, untried %v", name, early, counts, untried)
+			}
+		}
+	}
+}
+
 // A customer that is let over its ceiling is told, with the slack that it has.
 func TestCeiling(t *testing.T) {
 	s := troubled(1)
@@ -97,9 +190,13 @@
 		s.Plans[i].Rate, s.Plans[i].Burst = 1, 4
 		s.Plans[i].CeilingRate, s.Plans[i].CeilingBurst, s.Plans[i].CeilingSlack = 1, 12, 2
 	}
-	if _, counts := playDoubles(s, "").w.Judge.Violations(); counts[referee.Ceiling] == 0 || len(counts) != 1 {
+	h := playDoubles(s, "")
+	if _, counts := h.w.Judge.Violations(); counts[referee.Ceiling] == 0 || len(counts) != 1 {
 		t.Errorf("told as %v", counts)
 	}
+	if len(referee.Untried(h.w.Judge.Trials(), []string{"ceiling/up"})) > 0 || h.w.Judge.Low() == 0 {
+		t.Errorf("tried: %v", h.w.Judge.Trials())
+	}
 }
 
 // The same seed gives the same day, to the byte.
