A test of the list service waits until both processes listen

A lease of 500 ms could also be over before the first call on a slow machine.

Change: the test waits for each address to answer; the lease is 2 s.

--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -181,11 +181,15 @@
 // An operator runs a writer and a follower, and points the follower elsewhere.
 func TestWriterAndFollower(t *testing.T) {
 	writer, control, follower := freePort(t), freePort(t), freePort(t)
-	launch(t, fmt.Sprintf(`{"listen":%q,"control":%q,"lease_ms":500}`, writer, control))
+	launch(t, fmt.Sprintf(`{"listen":%q,"control":%q,"lease_ms":2000}`, writer, control))
 	path := launch(t, fmt.Sprintf(`{"listen":%q,"writer":%q}`, follower, writer))
-	if code, _, _ := get("http://" + control + "/control/ready"); code != 503 {
-		t.Errorf("ready before all could register: %d", code)
+	// Both have read their configuration, and may not listen yet.
+	first := 0
+	until(t, "the writer answers", func() bool { first, _, _ = get("http://" + control + "/control/ready"); return first != 0 })
+	if first != 503 {
+		t.Errorf("ready before all could register: %d", first)
 	}
+	until(t, "the follower answers", func() bool { code, _, _ := get("http://" + follower + "/registry/instances"); return code != 0 })
 	register := func() {
 		t.Helper()
 		req, _ := http.NewRequest("PUT", "http://"+follower+"/registry/instances/s-1",
