--- /dev/null
+++ b/internal/link/flow.go
@@ -0,0 +1,115 @@
+// Package link is the network between processes, made to fail: a relay stands on a
+// link and carries, in each direction by itself, what a fault lets through.
+package link
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what a link, or one direction of it, does with what is sent along it.
+type Kind string
+
+// The kinds.
+const (
+	Up      Kind = "up"
+	Dropped Kind = "dropped" // silence, as of a lost machine: nothing passes, and new connections never come up
+	Refused Kind = "refused" // new connections are refused, and those that stood are reset
+	Reset   Kind = "reset"   // connections come up and are reset
+	Stalled Kind = "stalled" // connections come up, and nothing passes: buffers fill
+	Cut     Kind = "cut"     // each connection is reset once Bytes have passed
+	Slow    Kind = "slow"    // Bytes a second pass
+	Delayed Kind = "delayed" // everything comes Delay later, and up to Jitter more
+)
+
+// Kinds are all kinds but Up.
+var Kinds = []Kind{Dropped, Refused, Reset, Stalled, Cut, Slow, Delayed}
+
+// How a link carries what is sent.
+type How struct {
+	Kind   Kind
+	Bytes  int64
+	Delay  time.Duration
+	Jitter time.Duration
+}
+
+// Check finds what can't be.
+func (h How) Check() error {
+	switch {
+	case h.Kind != Up && !slices.Contains(Kinds, h.Kind):
+		return fmt.Errorf("%q is not one of %v", h.Kind, Kinds)
+	case h.Kind == Slow && h.Bytes < 1:
+		return fmt.Errorf("%d bytes a second is no speed", h.Bytes)
+	case h.Kind == Cut && h.Bytes < 0:
+		return fmt.Errorf("a cut after %d bytes can't be", h.Bytes)
+	case h.Kind != Slow && h.Kind != Cut && h.Bytes != 0:
+		return fmt.Errorf("%s takes no bytes", h.Kind)
+	case h.Kind == Delayed && (h.Delay < 0 || h.Jitter < 0 || h.Delay+h.Jitter == 0):
+		return fmt.Errorf("a delay of %v and up to %v more is none", h.Delay, h.Jitter)
+	case h.Kind != Delayed && (h.Delay != 0 || h.Jitter != 0):
+		return fmt.Errorf("%s takes no delay", h.Kind)
+	}
+	return nil
+}
+
+// Flow is one direction of one connection: it says what becomes of the pieces that
+// are read, in their order. It is pure; the time comes in.
+type Flow struct {
+	how    How
+	random *rand.Rand
+	passed int64         // bytes, since the present fault began
+	free   time.Duration // when the last piece has passed
+	over   bool
+}
+
+// NewFlow returns a flow that begins as the link is.
+func NewFlow(how How, random *rand.Rand) *Flow { return &Flow{how: how, random: random} }
+
+// Set changes how it flows from now on. Pieces taken before keep their time.
+func (f *Flow) Set(now time.Duration, how How) { f.how, f.passed, f.free = how, 0, now }
+
+// Holds says whether nothing passes now, also not what was taken before.
+func (f *Flow) Holds() bool {
+	return f.how.Kind == Dropped || f.how.Kind == Stalled
+}
+
+const (
+	mostPiece  = 16 << 10
+	slowPieces = 20 // in a second, so that a slow link drips
+)
+
+// Piece is how many bytes may be read at once.
+func (f *Flow) Piece() int {
+	if f.how.Kind == Slow {
+		return int(min(max(f.how.Bytes/slowPieces, 1), mostPiece))
+	}
+	return mostPiece
+}
+
+// Take takes in a piece of n bytes, and says how many of them pass, when, and
+// whether the connection is reset behind them.
+func (f *Flow) Take(now time.Duration, n int) (pass int, due time.Duration, reset bool) {
+	if f.over {
+		return 0, now, true
+	}
+	pass, due = n, now
+	switch f.how.Kind {
+	case Cut:
+		if left := f.how.Bytes - f.passed; int64(n) >= left {
+			pass, reset = int(left), true
+			f.over = true
+		}
+	case Slow:
+		due = max(now, f.free) + time.Duration(float64(n)/float64(f.how.Bytes)*float64(time.Second))
+	case Delayed:
+		due = now + f.how.Delay
+		if f.how.Jitter > 0 {
+			due += time.Duration(f.random.Int64N(int64(f.how.Jitter) + 1))
+		}
+	}
+	due = max(due, f.free)
+	f.passed, f.free = f.passed+int64(pass), due
+	return pass, due, reset
+}
--- /dev/null
+++ b/internal/link/relay.go
@@ -0,0 +1,303 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Way is a direction of a link.
+type Way int
+
+// The ways, as seen by who connects.
+const (
+	There Way = iota
+	Back
+)
+
+// Limits bound a Relay.
+type Limits struct {
+	Connections int // at once; more are reset
+	Buffer      int // bytes read ahead, in each direction of each connection
+}
+
+// Stats are a Relay's figures.
+type Stats struct {
+	Connections int           // that stand
+	Most        int           // that stood at once
+	Turned      int64         // connections beyond the limit
+	Bytes       [2]int64      // passed, by way
+	Late        time.Duration // the longest by which a piece was passed on behind its time
+}
+
+// Relay carries the connections of one link.
+type Relay struct {
+	door   *Door
+	target string
+	limits Limits
+	began  time.Time
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	changed sync.Cond // a fault, a queue, or an end; on mu
+	hows    [2]How
+	conns   map[*conn]bool
+	closed  bool
+	random  *rand.Rand
+	stats   Stats
+}
+
+// conn is a connection with both its sides. All but the ends is under the relay's
+// lock.
+type conn struct {
+	ends  [2]*net.TCPConn // who connected, and whom it is for
+	flows [2]*Flow
+	queue [2][]piece
+	bytes [2]int // in the queue
+	over  bool
+}
+
+// piece is what was read at once, or an end.
+type piece struct {
+	text  []byte
+	due   time.Duration
+	end   bool // its sender says no more
+	reset bool // the connection is reset behind it
+}
+
+// dialWait is for a connection to whom the link leads.
+const dialWait = 2 * time.Second
+
+// NewRelay carries what comes to an address to another.
+func NewRelay(address, target string, limits Limits, seed uint64) (*Relay, error) {
+	r := &Relay{target: target, limits: limits, began: time.Now(), hows: [2]How{{Kind: Up}, {Kind: Up}}, conns: map[*conn]bool{},
+		random: rand.New(rand.NewPCG(seed, 1))}
+	r.changed.L = &r.mu
+	door, err := NewDoor(address, func(c net.Conn) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.closed {
+			r.wg.Go(func() { r.connect(c.(*net.TCPConn)) })
+		}
+	})
+	if err != nil {
+		return nil, fmt.Errorf("relay to %s: %w", target, err)
+	}
+	r.door = door
+	return r, nil
+}
+
+// Address is where it listens.
+func (r *Relay) Address() string { return r.door.Address() }
+
+func (r *Relay) now() time.Duration { return time.Since(r.began) }
+
+// Set changes how one way of the link carries what is sent from now on. Refused and
+// Reset end the connections that stand; whichever way has them, the link has.
+func (r *Relay) Set(way Way, how How) error {
+	if err := how.Check(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hows[way] = how
+	step := Open
+	for _, h := range r.hows {
+		switch h.Kind {
+		case Dropped:
+			step = max(step, Silent)
+		case Refused:
+			step = max(step, Refusing)
+		}
+	}
+	for c := range r.conns {
+		c.flows[way].Set(r.now(), how)
+		if how.Kind == Refused || how.Kind == Reset {
+			c.abort()
+		}
+	}
+	r.changed.Broadcast()
+	return r.door.Set(step)
+}
+
+// Stats returns the figures.
+func (r *Relay) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats
+	s.Connections = len(r.conns)
+	return s
+}
+
+// Close ends the relay and all its connections. Nothing of it is left.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	for c := range r.conns {
+		c.abort()
+	}
+	r.changed.Broadcast()
+	r.mu.Unlock()
+	r.door.Close()
+	r.wg.Wait()
+}
+
+// connect finds the other side for a connection, and carries it until it ends.
+func (r *Relay) connect(from *net.TCPConn) {
+	c := &conn{ends: [2]*net.TCPConn{from, nil}}
+	r.mu.Lock()
+	full := len(r.conns) >= r.limits.Connections
+	if full {
+		r.stats.Turned++
+	}
+	ends := func(h How) bool { return h.Kind == Reset || h.Kind == Refused } // it may have come in the moment of the change
+	if full || r.closed || ends(r.hows[There]) || ends(r.hows[Back]) {
+		r.mu.Unlock()
+		Abort(from)
+		return
+	}
+	for way := range c.flows {
+		c.flows[way] = NewFlow(r.hows[way], rand.New(rand.NewPCG(r.random.Uint64(), 2)))
+	}
+	r.conns[c] = true // also while its other side is sought
+	r.stats.Most = max(r.stats.Most, len(r.conns))
+	r.mu.Unlock()
+	to, err := net.DialTimeout("tcp", r.target, dialWait)
+	r.mu.Lock()
+	if err != nil || c.over {
+		delete(r.conns, c)
+		c.abort()
+		r.mu.Unlock()
+		if err == nil {
+			Abort(to)
+		}
+		return
+	}
+	c.ends[1] = to.(*net.TCPConn)
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, way := range []Way{There, Back} {
+		wg.Go(func() { r.read(c, way) })
+		wg.Go(func() { r.write(c, way) })
+	}
+	wg.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	if !c.over { // both sides have said their last, which may still be on its way
+		c.over = true
+		c.ends[0].Close()
+		c.ends[1].Close()
+	}
+}
+
+// abort resets both sides. The caller has the lock.
+func (c *conn) abort() {
+	if c.over {
+		return
+	}
+	c.over = true
+	for _, end := range c.ends {
+		if end != nil {
+			Abort(end)
+		}
+	}
+}
+
+// read takes in what one side sends, as far as there is room for it and the link
+// does not hold it.
+func (r *Relay) read(c *conn, way Way) {
+	from := c.ends[way]
+	for {
+		r.mu.Lock()
+		for !c.over && (c.flows[way].Holds() || c.bytes[way] >= r.limits.Buffer) {
+			r.changed.Wait()
+		}
+		text := make([]byte, min(c.flows[way].Piece(), max(r.limits.Buffer-c.bytes[way], 1)))
+		over := c.over
+		r.mu.Unlock()
+		if over {
+			return
+		}
+		n, err := from.Read(text)
+		r.mu.Lock()
+		if n > 0 {
+			pass, due, reset := c.flows[way].Take(r.now(), n)
+			c.queue[way] = append(c.queue[way], piece{text: text[:pass], due: due, reset: reset})
+			c.bytes[way] += pass
+		}
+		if err != nil {
+			_, due, _ := c.flows[way].Take(r.now(), 0)
+			c.queue[way] = append(c.queue[way], piece{due: due, end: errors.Is(err, io.EOF), reset: !errors.Is(err, io.EOF)})
+		}
+		r.changed.Broadcast()
+		r.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// write passes on what was read, each piece at its time, unless the link holds it.
+func (r *Relay) write(c *conn, way Way) {
+	to := c.ends[1-way]
+	for {
+		p, ok := r.next(c, way)
+		if !ok {
+			return
+		}
+		_, err := to.Write(p.text)
+		switch {
+		case err != nil || p.reset:
+			r.mu.Lock()
+			c.abort()
+			r.changed.Broadcast()
+			r.mu.Unlock()
+			return
+		case p.end:
+			to.CloseWrite()
+			return
+		}
+		r.mu.Lock()
+		c.bytes[way] -= len(p.text)
+		r.stats.Bytes[way] += int64(len(p.text))
+		r.changed.Broadcast()
+		r.mu.Unlock()
+	}
+}
+
+// next waits for the next piece to be passed on.
+func (r *Relay) next(c *conn, way Way) (piece, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waited := false
+	for !c.over {
+		if len(c.queue[way]) == 0 || c.flows[way].Holds() {
+			waited = false
+			r.changed.Wait()
+			continue
+		}
+		p := c.queue[way][0]
+		if in := p.due - r.now(); in > 0 {
+			waited = true
+			alarm := time.AfterFunc(in, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.changed.Broadcast()
+			})
+			r.changed.Wait()
+			alarm.Stop()
+			continue
+		} else if waited {
+			r.stats.Late = max(r.stats.Late, -in)
+		}
+		c.queue[way][0] = piece{}
+		c.queue[way] = c.queue[way][1:]
+		return p, true
+	}
+	return piece{}, false
+}
--- a/internal/play/links.go
+++ b/internal/play/links.go
@@ -9,9 +9,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
+	"dunlintray/internal/link"
 	"dunlintray/internal/world"
 )
 
@@ -22,13 +22,11 @@
 	e       *engine
 	gateway int
 	number  int // of the backend, or world.Counter
-	address string
+	door    *link.Door
 
-	mu       sync.Mutex
-	state    world.LinkState
-	listener *net.TCPListener
-	stuffing net.Conn // fills the queue of a silent listener
-	conns    map[*served]bool
+	mu    sync.Mutex
+	state world.LinkState
+	conns map[*served]bool
 }
 
 // served is a connection from a gateway.
@@ -39,112 +37,53 @@
 }
 
 const (
-	acceptQueue = 512
-	writeWait   = 50 * time.Millisecond // for a short answer; the loop writes it
-	shortBody   = 16 << 10
-	longWait    = 30 * time.Second // for a long one
+	writeWait = 50 * time.Millisecond // for a short answer; the loop writes it
+	shortBody = 16 << 10
+	longWait  = 30 * time.Second // for a long one
 )
 
 func newPeer(e *engine, gateway, number int, address string) (*peer, error) {
-	p := &peer{e: e, gateway: gateway, number: number, address: address, conns: map[*served]bool{}}
-	return p, p.open()
+	p := &peer{e: e, gateway: gateway, number: number, conns: map[*served]bool{}}
+	var err error
+	p.door, err = link.NewDoor(address, p.take)
+	return p, err
 }
 
-// open listens. The caller holds the lock, or is alone.
-func (p *peer) open() error {
-	l, err := net.Listen("tcp", p.address)
-	if err != nil {
-		return err
-	}
-	p.listener = l.(*net.TCPListener)
-	p.e.wg.Go(func() { p.accept(p.listener) })
-	return nil
-}
-
-func (p *peer) accept(l *net.TCPListener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return // closed, or silent: whoever changed the state goes on
-		}
-		s := &served{Conn: c, id: world.Conn(p.e.conns.Add(1)), peer: p}
-		p.mu.Lock()
-		if p.state != world.Up || p.listener != l {
-			p.mu.Unlock()
-			p.cut(s)
-			continue
-		}
-		p.conns[s] = true
+func (p *peer) take(c net.Conn) {
+	s := &served{Conn: c, id: world.Conn(p.e.conns.Add(1)), peer: p}
+	p.mu.Lock()
+	if p.state != world.Up { // it came in the moment of the change
 		p.mu.Unlock()
-		p.e.post(opened{world.Opened{Conn: s.id, Gateway: p.gateway, Peer: p.number}, s})
-		p.e.wg.Go(s.run)
+		link.Abort(c)
+		return
 	}
+	p.conns[s] = true
+	p.mu.Unlock()
+	p.e.post(opened{world.Opened{Conn: s.id, Gateway: p.gateway, Peer: p.number}, s})
+	p.e.wg.Go(s.run)
 }
 
-func (p *peer) cut(s *served) {
-	s.Conn.(*net.TCPConn).SetLinger(0) // a reset, not an end
-	s.Close()
-}
+var doorsteps = map[world.LinkState]link.Doorstep{world.Up: link.Open, world.Refusing: link.Refusing, world.Silent: link.Silent}
 
 // set carries out a change of the link. On a silent one, connections stand and
-// say nothing, and new ones never come up: the listener's queue is full.
+// say nothing, and new ones never come up.
 func (p *peer) set(state world.LinkState) error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	was := p.state
 	p.state = state
-	if was == world.Silent && p.stuffing != nil {
-		p.stuffing.Close()
-		p.stuffing = nil
-	}
-	if state == world.Silent {
-		if p.listener == nil {
-			if err := p.open(); err != nil {
-				return err
-			}
-		}
-		p.listener.SetDeadline(time.Unix(1, 0)) // ends its accepting
-		if err := p.queue(0); err != nil {
-			return err
+	if state != world.Silent {
+		for s := range p.conns {
+			link.Abort(s.Conn)
 		}
-		p.stuffing, _ = net.DialTimeout("tcp", p.address, writeWait) // one that fails finds the queue full
-		return nil
-	}
-	for s := range p.conns {
-		p.cut(s)
-	}
-	clear(p.conns)
-	if p.listener != nil {
-		p.listener.Close()
-		p.listener = nil
-	}
-	if state == world.Up {
-		return p.open()
+		clear(p.conns)
 	}
-	return nil
-}
-
-func (p *peer) queue(n int) error {
-	raw, err := p.listener.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), n) }); err != nil {
-		return err
-	}
-	return failed
+	p.mu.Unlock()
+	return p.door.Set(doorsteps[state])
 }
 
 func (p *peer) close() {
+	p.door.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.listener != nil {
-		p.listener.Close()
-	}
-	if p.stuffing != nil {
-		p.stuffing.Close()
-	}
 	for s := range p.conns {
 		s.Close()
 	}
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"dunlintray/internal/link"
 	"dunlintray/internal/referee"
 	"dunlintray/internal/results"
 	"dunlintray/internal/scenario"
@@ -94,7 +95,7 @@
 	killed    map[int]bool // services that a fault has ended; of the loop
 	callers   []*callers
 	agents    [][]*agent // by gateway, one for each list service
-	peers     map[link]*peer
+	peers     map[between]*peer
 	relays    *relays
 	registrar *registrar
 
@@ -106,14 +107,14 @@
 	failed error
 }
 
-type link struct{ gateway, peer int }
+type between struct{ gateway, peer int }
 
 const mostEvents = 1 << 14 // that wait for the loop; who has more waits too
 
 // Run plays a scenario until its day is over or ctx ends. No process it has
 // started is left when it returns.
 func Run(ctx context.Context, s *scenario.Scenario, o Options) (*Result, error) {
-	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[link]*peer{},
+	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[between]*peer{},
 		served: map[world.Conn]*served{}, killed: map[int]bool{}, methods: map[string]string{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Fleet.Gateways + 4}, Timeout: 65 * time.Second}}
 	for _, c := range s.Classes {
@@ -281,9 +282,9 @@
 	if err != nil {
 		return err
 	}
-	e.peers[link{g, world.Counter}] = counter
+	e.peers[between{g, world.Counter}] = counter
 	for _, entry := range e.w.Entries() {
-		if _, err := e.peer(link{g, entry.Backend}); err != nil {
+		if _, err := e.peer(between{g, entry.Backend}); err != nil {
 			return err
 		}
 	}
@@ -307,7 +308,7 @@
 }
 
 // peer is the end of a link; one that is new is made.
-func (e *engine) peer(at link) (*peer, error) {
+func (e *engine) peer(at between) (*peer, error) {
 	if p := e.peers[at]; p != nil {
 		return p, nil
 	}
@@ -441,17 +442,17 @@
 		}
 	case world.Reset:
 		if s := e.served[a.Conn]; s != nil {
-			s.peer.cut(s)
+			link.Abort(s.Conn)
 		}
 	case world.Link:
-		p, err := e.peer(link{a.Gateway, a.Peer})
+		p, err := e.peer(between{a.Gateway, a.Peer})
 		if err != nil {
 			return err
 		}
 		return p.set(a.State)
 	case world.Enlist:
 		for g := range e.gateways { // a new backend is there before it is told
-			if _, err := e.peer(link{g, a.Backend}); err != nil {
+			if _, err := e.peer(between{g, a.Backend}); err != nil {
 				return err
 			}
 		}
--- a/internal/referee/trials.go
+++ b/internal/referee/trials.go
@@ -40,7 +40,7 @@
 	{Name: tryOnce, What: "failures with time left of what may run once"},
 	{Name: tryZone, What: "and of what must stay in its zone"},
 	{Name: tryCell, What: "and of what must stay in its cell"},
-	{Name: tryWindow, What: "and of what is forgotten before its deadline"},
+	{Name: tryWindow, What: "and of what had its key forgotten by then"},
 	{Name: Refusal, What: "requests that were not served though they may have run"},
 	{Name: Most, What: "last permitted attempts that failed with time left for another"},
 	{Name: Drain, What: "attempts of gateways that had been told of a drain"},
@@ -120,7 +120,7 @@
 		if name := Resend + "/" + c.Scope; c.Scope != "all" {
 			r.tried[name]++
 		}
-		if rec.Due > first.First+c.Window.D()+r.s.Rules.Observe.D() {
+		if now-first.First > c.Window.D()+r.s.Rules.Observe.D() {
 			r.tried[tryWindow]++
 		}
 	}
