Faults of links between processes in plays; rude clients come again

Need: the links to list services and between them were bare, and no play dropped, stalled or cut one process from another in one direction. A rude client came once, so that new connections were pressed for 3 s of 10 and a gateway that closes them at the door was named by no play.

Change: faults of kind 'link' (from, to, way, how, flap): relays of internal/link stand between agents and list services, followers and writer, backends and writer, only where a fault is to befall; datagrams between gateways one way; links to backends and counter in the model. Rude clients open their connections again.

--- a/internal/play/agents.go
+++ b/internal/play/agents.go
@@ -359,7 +359,7 @@
 			return 0, 0
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.e.place.registry(0)+registry.Path+"/"+path, &text)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.e.service(world.End{Kind: scenario.Backends}, 0)+registry.Path+"/"+path, &text)
 	if err != nil {
 		return 0, 0
 	}
--- a/internal/play/clients.go
+++ b/internal/play/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -256,34 +257,51 @@
 	}
 }
 
-// rude opens connections that send nothing, or a head byte by byte.
+// rudePace is between two bytes of a rude client's, and before it comes again.
+const rudePace = 100 * time.Millisecond
+
+// rude opens connections that send nothing, or a head byte by byte, and opens them
+// again when they are closed.
 func (p *callers) rude(r world.Rude) {
-	const pace = 100 * time.Millisecond
-	end := time.Now().Add(r.For)
+	ctx, cancel := context.WithTimeout(p.e.ctx, r.For)
+	var wg sync.WaitGroup
 	for n := range r.Connections {
-		p.e.wg.Go(func() {
-			c, err := net.DialTimeout("tcp", p.address, time.Second)
-			if err != nil {
-				return
-			}
-			defer c.Close()
-			head := []byte("GET /rude HTTP/1.1\r\nHost: origin.svc\r\nX-Nothing: ")
-			for i := 0; time.Now().Before(end) && p.e.ctx.Err() == nil; i++ {
-				if n%2 == 1 {
-					b := byte('x')
-					if i < len(head) {
-						b = head[i]
-					}
-					if _, err := c.Write([]byte{b}); err != nil {
-						return
-					}
-				}
-				c.SetReadDeadline(time.Now().Add(pace))
-				var buf [512]byte
-				if _, err := c.Read(buf[:]); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-					return
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				p.rudeOnce(ctx, n%2 == 1)
+				select {
+				case <-time.After(rudePace):
+				case <-ctx.Done():
 				}
 			}
 		})
 	}
+	p.e.wg.Go(func() { wg.Wait(); cancel() })
+}
+
+// rudeOnce is one such connection, until it or the time ends.
+func (p *callers) rudeOnce(ctx context.Context, drips bool) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	head := []byte("GET /rude HTTP/1.1\r\nHost: origin.svc\r\nX-Nothing: ")
+	for i := 0; ctx.Err() == nil; i++ {
+		if drips {
+			b := byte('x')
+			if i < len(head) {
+				b = head[i]
+			}
+			if _, err := c.Write([]byte{b}); err != nil {
+				return
+			}
+		}
+		c.SetReadDeadline(time.Now().Add(rudePace))
+		var buf [512]byte
+		if _, err := c.Read(buf[:]); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
 }
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -97,6 +97,7 @@
 	agents    [][]*agent // by gateway, one for each list service
 	peers     map[between]*peer
 	relays    *relays
+	wires     map[world.Wire]*link.Relay // on links that a fault is to befall
 	registrar *registrar
 
 	// Of the loop:
@@ -109,12 +110,18 @@
 
 type between struct{ gateway, peer int }
 
+// Of a relay on a link between processes.
+const (
+	wireConnections = 64
+	wireBuffer      = 64 << 10
+)
+
 const mostEvents = 1 << 14 // that wait for the loop; who has more waits too
 
 // Run plays a scenario until its day is over or ctx ends. No process it has
 // started is left when it returns.
 func Run(ctx context.Context, s *scenario.Scenario, o Options) (*Result, error) {
-	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[between]*peer{},
+	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[between]*peer{}, wires: map[world.Wire]*link.Relay{},
 		served: map[world.Conn]*served{}, killed: map[int]bool{}, methods: map[string]string{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Fleet.Gateways + 4}, Timeout: 65 * time.Second}}
 	for _, c := range s.Classes {
@@ -164,6 +171,11 @@
 	case e.gap > mostGap:
 		r.Late = fmt.Sprintf("the emulation stood still for %v", e.gap.Round(time.Millisecond))
 	}
+	for at, relay := range e.wires {
+		if s := relay.Stats(); s.Late > mostGap || s.Turned > 0 {
+			r.Late = fmt.Sprintf("the relay from %v was late by %v and turned %d connections away", at, s.Late.Round(time.Millisecond), s.Turned)
+		}
+	}
 	return r, nil
 }
 
@@ -183,6 +195,14 @@
 	if e.place, e.claim, err = findPlace(e.s.Fleet.Gateways, e.s.Fleet.ListServices, rand.IntN); err != nil {
 		return err
 	}
+	for n, at := range world.Wires(e.s) {
+		limits := link.Limits{Connections: wireConnections, Buffer: wireBuffer}
+		r, err := link.NewRelay(e.place.wire(n), e.place.registry(at.To.N), limits, e.s.Seed+uint64(n))
+		if err != nil {
+			return err
+		}
+		e.wires[at] = r
+	}
 	if err := e.startServices(ctx); err != nil {
 		return err
 	}
@@ -244,7 +264,7 @@
 		}
 		writer := ""
 		if k > 0 {
-			writer = e.place.registry(0)
+			writer = e.service(world.End{Kind: scenario.Lists, N: k}, 0)
 		}
 		config, err := e.s.RegistryConfig(e.place.registry(k), e.place.registryControl(k), writer, filepath.Join(p.dir, "data"))
 		if err != nil {
@@ -292,7 +312,7 @@
 	for k := range max(1, e.s.Fleet.ListServices) {
 		service := ""
 		if e.s.Fleet.ListServices > 0 {
-			service = e.place.registry(k)
+			service = e.service(world.End{Kind: scenario.Gateways, N: g}, k)
 		}
 		a, err := newAgent(e, g, e.place.agent(g, k), service)
 		if err != nil {
@@ -307,6 +327,15 @@
 	return nil
 }
 
+// service is where a process reaches a list service: at a relay, where one stands
+// between them.
+func (e *engine) service(from world.End, k int) string {
+	if r := e.wires[world.Wire{From: from, To: world.End{Kind: scenario.Lists, N: k}}]; r != nil {
+		return r.Address()
+	}
+	return e.place.registry(k)
+}
+
 // peer is the end of a link; one that is new is made.
 func (e *engine) peer(at between) (*peer, error) {
 	if p := e.peers[at]; p != nil {
@@ -450,6 +479,10 @@
 			return err
 		}
 		return p.set(a.State)
+	case world.Rewire:
+		if r := e.wires[a.Wire]; r != nil {
+			return r.Set(a.Way, a.How)
+		}
 	case world.Enlist:
 		for g := range e.gateways { // a new backend is there before it is told
 			if _, err := e.peer(between{g, a.Backend}); err != nil {
@@ -568,6 +601,9 @@
 	if e.relays != nil {
 		e.relays.close()
 	}
+	for _, r := range e.wires {
+		r.Close()
+	}
 	if e.claim != nil {
 		e.claim.Close()
 	}
--- a/internal/play/processes.go
+++ b/internal/play/processes.go
@@ -209,6 +209,7 @@
 func (p place) registryControl(n int) string      { return p.in(1, n, 8501) }
 func (p place) peer(n int) string                 { return p.in(16, n, 7946) }
 func (p place) relay(n int) string                { return p.in(8, n, 7946) }
+func (p place) wire(n int) string                 { return p.in(4, 0, 10000+n) }
 func (p place) counter(gateway int) string        { return p.in(2, 0, 10000+gateway) }
 func (p place) agent(gateway, service int) string { return p.in(3, service, 10000+gateway) }
 func (p place) backend(gateway, n int) string     { return p.in(64, n, 10000+gateway) }
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -269,6 +269,14 @@
 		want(f.Kind != "writer_killed" || s.Fleet.ListServices > 0, key("kind"), "there is no list service")
 		want(f.For >= 0 && (f.For > 0 || f.Kind == "counter_empty"), key("for"), "%v is not above 0", f.For)
 		share(key("part"), f.Part)
+		if kind.Link {
+			_, where, err := s.Link(&f)
+			want(err == nil, key(where), "%v", err)
+			want(f.Flap >= 0, key("flap"), "%v is below 0", f.Flap)
+			want(f.Part == 0 && f.Zone == "", key("part"), "it takes neither part nor zone")
+			continue
+		}
+		want(f.From == "" && f.To == "" && f.Way == "" && f.How == "" && f.Delay == 0 && f.Jitter == 0 && f.Flap == 0, key("from"), "it is no link")
 		inZone := slices.Contains(s.Fleet.Zones, f.Zone)
 		want(f.Zone == "" || inZone, key("zone"), "%q is not a zone of the fleet", f.Zone)
 		switch {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -146,6 +146,15 @@
 	Part float64  `toml:"part"` // share of those that it can befall
 	Zone string   `toml:"zone"` // befalls this zone alone
 	Size float64  `toml:"size"` // see Kinds
+
+	// Of a link:
+	From   string   `toml:"from"` // whoever connects, see ParseParty
+	To     string   `toml:"to"`
+	Way    string   `toml:"way"` // there, back or both; both, if empty
+	How    string   `toml:"how"` // see link.Kinds
+	Delay  Duration `toml:"delay"`
+	Jitter Duration `toml:"jitter"`
+	Flap   Duration `toml:"flap"` // it comes and goes, each for so long; 0: it stays
 }
 
 // Kind tells what a kind of fault takes.
@@ -154,6 +163,7 @@
 	Zone  bool   // needs a zone
 	Size  string // what the size is; empty where it takes none
 	Share bool   // the size is a share
+	Link  bool   // it takes from, to, way and how
 	What  string
 }
 
@@ -173,6 +183,7 @@
 	"counter_silent": {What: "the counter falls silent and comes back empty"},
 	"counter_empty":  {What: "the counter has lost everything at once; for is not used"},
 	"counter_slow":   {Size: "times its usual time for a call", What: "the counter serves calls slowly, and turns more away"},
+	"link":           {Link: true, Size: "bytes that a cut lets pass, or that pass in a second where it is slow", What: "links from one party to another, or one way of them, do what how says"},
 	"list_late":      {What: "no list is told"},
 	"list_stale":     {What: "who asks for a whole list gets the one from before"},
 	"writer_killed":  {What: "the list service that writes is killed, and started again after for"},
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"dunlintray/internal/link"
 	"dunlintray/internal/referee"
+	"dunlintray/internal/scenario"
 )
 
 type backendState int
@@ -172,7 +174,7 @@
 	}
 	lives := b.lives
 	w.after(w.delay(c), func() {
-		if j.conn == nil || b.lives != lives || w.links[link{c.gateway, c.peer}] != Up {
+		if j.conn == nil || b.lives != lives || w.links[edge{c.gateway, c.peer}] != Up {
 			return
 		}
 		if j.reply.Spoilt {
@@ -214,7 +216,7 @@
 
 func (w *World) opened(e Opened) {
 	c := &conn{id: e.Conn, gateway: e.Gateway, peer: e.Peer}
-	if w.links[link{c.gateway, c.peer}] != Up {
+	if w.links[edge{c.gateway, c.peer}] != Up {
 		return // what comes on it is not heard
 	}
 	w.conns[c.id] = c
@@ -293,14 +295,14 @@
 
 func (w *World) probed(e Probed) {
 	c := w.conns[e.Conn]
-	if c == nil || c.peer == Counter || w.links[link{c.gateway, c.peer}] != Up {
+	if c == nil || c.peer == Counter || w.links[edge{c.gateway, c.peer}] != Up {
 		return
 	}
 	w.Tally.Costs.Probes++
 	b := w.backends[c.peer]
 	r := Reply{Conn: c.id, Status: 200, Body: Body{Seed: 1, Size: 32}, Load: &Report{Held: len(b.inWork) + len(b.waiting), Waiting: len(b.waiting)}}
 	w.after(2*w.delay(c), func() {
-		if w.conns[c.id] == c && w.links[link{c.gateway, c.peer}] == Up {
+		if w.conns[c.id] == c && w.links[edge{c.gateway, c.peer}] == Up {
 			w.do(r)
 			w.rests(c)
 		}
@@ -309,7 +311,7 @@
 
 func (w *World) arrived(e Arrived) {
 	c := w.conns[e.Conn]
-	if c == nil || c.peer == Counter || w.links[link{c.gateway, c.peer}] != Up {
+	if c == nil || c.peer == Counter || w.links[edge{c.gateway, c.peer}] != Up {
 		return // it never came
 	}
 	b := w.backends[c.peer]
@@ -467,10 +469,10 @@
 // relink tells the driver of every link that has changed, and ends the
 // connections along those that have.
 func (w *World) relink() {
-	ended := map[link]bool{}
+	ended := map[edge]bool{}
 	for g := range w.gateways {
 		for peer := Counter; peer < len(w.backends); peer++ {
-			at := link{g, peer}
+			at := edge{g, peer}
 			state := w.linkState(g, peer)
 			if w.links[at] == state {
 				continue
@@ -481,7 +483,7 @@
 		}
 	}
 	for _, c := range w.conns {
-		if ended[link{c.gateway, c.peer}] {
+		if ended[edge{c.gateway, c.peer}] {
 			w.drop(c) // in any order: nothing is done for it but bookkeeping
 		}
 	}
@@ -492,10 +494,16 @@
 	if here != there && (w.cuts[here] > 0 || w.cuts[there] > 0) {
 		return Silent
 	}
+	to := End{scenario.Backends, peer}
 	if peer == Counter {
-		if w.counter.silent > 0 {
-			return Silent
-		}
+		to = End{scenario.CounterParty, 0}
+	}
+	switch how := w.how(Wire{End{scenario.Gateways, g}, to}, link.There); {
+	case how.Kind == link.Dropped, peer == Counter && w.counter.silent > 0:
+		return Silent
+	case how.Kind == link.Refused:
+		return Refusing
+	case peer == Counter:
 		return Up
 	}
 	switch w.backends[peer].state {
--- a/internal/world/counter.go
+++ b/internal/world/counter.go
@@ -18,7 +18,7 @@
 
 func (w *World) called(e Called) {
 	c := w.conns[e.Conn]
-	if c == nil || w.links[link{c.gateway, c.peer}] != Up {
+	if c == nil || w.links[edge{c.gateway, c.peer}] != Up {
 		return
 	}
 	w.Tally.Costs.Calls++
@@ -45,7 +45,7 @@
 		// Answers on a connection come in the order of the calls.
 		c.last = max(c.last, w.now+delay)
 		w.at(c.last, func() {
-			if w.conns[c.id] == c && w.links[link{c.gateway, c.peer}] == Up {
+			if w.conns[c.id] == c && w.links[edge{c.gateway, c.peer}] == Up {
 				w.do(answer)
 				w.rests(c)
 			}
--- a/internal/world/double_test.go
+++ b/internal/world/double_test.go
@@ -17,7 +17,7 @@
 	order    uint64
 	next     Conn
 	conns    map[Conn]*doubleConn
-	links    map[link]LinkState
+	links    map[edge]LinkState
 	doubles  []*double
 	defect   string
 	planted  int // times that the defect has been acted out
@@ -83,7 +83,7 @@
 
 // play plays a scenario with doubles that have the defect.
 func playDoubles(s *scenario.Scenario, defect string) *harness {
-	h := &harness{w: New(s), s: s, conns: map[Conn]*doubleConn{}, links: map[link]LinkState{}, defect: defect, maxSteps: 10_000_000}
+	h := &harness{w: New(s), s: s, conns: map[Conn]*doubleConn{}, links: map[edge]LinkState{}, defect: defect, maxSteps: 10_000_000}
 	for g := range s.Fleet.Gateways {
 		d := &double{h: h, n: g, alive: true, told: map[int]Entry{}, open: map[uint64]*held{}, out: map[int]int{}}
 		h.doubles = append(h.doubles, d)
@@ -153,7 +153,7 @@
 			h.after(0, func() { h.broke(c) })
 		}
 	case Link:
-		h.links[link{a.Gateway, a.Peer}] = a.State
+		h.links[edge{a.Gateway, a.Peer}] = a.State
 		if a.State != Silent {
 			for _, id := range sortedConns(h.conns) {
 				if c := h.conns[id]; c.gateway == a.Gateway && c.backend == a.Peer {
@@ -287,7 +287,7 @@
 	if x.tries >= h.s.Rules.Attempts {
 		h.planted++
 	}
-	switch h.links[link{d.n, b}] {
+	switch h.links[edge{d.n, b}] {
 	case Refusing:
 		x.refused[b] = true
 		x.attempt()
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -70,6 +71,10 @@
 	case "writer_killed":
 		w.do(KillService{0})
 		end(func() { w.do(StartService{0}) })
+	case "link":
+		w.do(Mark{fmt.Sprintf("links from %s to %s, %s: %s for %v", f.From, f.To, cmp.Or(f.Way, "both"), f.How, f.For)})
+		w.breakLink(f)
+		return
 	case "burst": // in load
 	case "rude":
 		for g := range w.gateways {
--- a/internal/world/gateways.go
+++ b/internal/world/gateways.go
@@ -151,7 +151,7 @@
 	if e.Backend >= len(w.backends) {
 		return
 	}
-	b, at := w.backends[e.Backend], link{g, e.Backend}
+	b, at := w.backends[e.Backend], edge{g, e.Backend}
 	before, known := w.heard[at]
 	w.heard[at] = e
 	same := func(a, b time.Duration) bool { return a-b <= time.Millisecond && b-a <= time.Millisecond }
--- /dev/null
+++ b/internal/world/links_test.go
@@ -0,0 +1,163 @@
+package world
+
+import (
+	"testing"
+	"time"
+
+	"dunlintray/internal/link"
+	"dunlintray/internal/scenario"
+)
+
+// linked is a quiet fleet of four gateways in two zones with three list services, and
+// the faults given.
+func linked(t *testing.T, faults ...scenario.Fault) *scenario.Scenario {
+	t.Helper()
+	s := scenario.Default()
+	s.Fleet.Gateways, s.Fleet.ListServices, s.Load.RequestsPerS, s.Duration = 4, 3, 1e-9, 60*second
+	s.Network.PeerLoss, s.Network.PeerDelay = 0, 0
+	for i := range faults {
+		faults[i].Kind = "link"
+	}
+	s.Faults = faults
+	if problems := s.Check(); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	return &s
+}
+
+// follow plays a world to a moment, and takes note of how relays carry.
+func follow(w *World, until time.Duration, as map[wiredWay]link.How) (other []any) {
+	for next, ok := w.Next(); ok && next <= until; next, ok = w.Next() {
+		for _, a := range w.Step(next, Tick{}) {
+			switch do := a.Do.(type) {
+			case Rewire:
+				if before := as[wiredWay{do.Wire, do.Way}]; before == do.How {
+					other = append(other, "told twice")
+				}
+				as[wiredWay{do.Wire, do.Way}] = do.How
+			case Link, Deliver:
+				other = append(other, do)
+			}
+		}
+	}
+	return other
+}
+
+// Faults of links befall whom they name, on the way they name, for their time; of
+// two the later holds, one that flaps comes and goes, and all is up at the end.
+func TestLinkFaults(t *testing.T) {
+	s := linked(t,
+		scenario.Fault{At: 1 * second, For: 10 * second, From: "lists", To: "list0", How: "dropped"},
+		scenario.Fault{At: 2 * second, For: 4 * second, From: "gateways of b", To: "lists", Way: "back", How: "slow", Size: 10},
+		scenario.Fault{At: 3 * second, For: 1 * second, From: "n1", To: "list2", How: "stalled"},
+		scenario.Fault{At: 20 * second, For: 2 * second, From: "backends", To: "list0", Way: "there", How: "cut", Size: 5, Flap: second / 2},
+	)
+	// n1 and n3 stand in b, each before three list services; two followers; the backends.
+	if wires := Wires(s); len(wires) != 2*3+2+1 {
+		t.Errorf("relays on %v", wires)
+	}
+	w := New(s)
+	w.Begin(0)
+	as := map[wiredWay]link.How{}
+	list := func(k int) End { return End{scenario.Lists, k} }
+	gateway := func(n int) End { return End{scenario.Gateways, n} }
+	backends := Wire{End{scenario.Backends, 0}, list(0)}
+	for _, c := range []struct {
+		at   time.Duration
+		wire Wire
+		way  link.Way
+		want link.Kind
+	}{
+		{900 * time.Millisecond, Wire{list(1), list(0)}, link.There, ""},
+		{1500 * time.Millisecond, Wire{list(1), list(0)}, link.There, link.Dropped},
+		{1500 * time.Millisecond, Wire{list(2), list(0)}, link.Back, link.Dropped},
+		{2500 * time.Millisecond, Wire{gateway(1), list(2)}, link.Back, link.Slow},
+		{2500 * time.Millisecond, Wire{gateway(1), list(2)}, link.There, ""},
+		{2500 * time.Millisecond, Wire{gateway(0), list(2)}, link.Back, ""},
+		{3500 * time.Millisecond, Wire{gateway(1), list(2)}, link.Back, link.Stalled},
+		{3500 * time.Millisecond, Wire{gateway(1), list(2)}, link.There, link.Stalled},
+		{3500 * time.Millisecond, Wire{gateway(1), list(1)}, link.Back, link.Slow},
+		{4500 * time.Millisecond, Wire{gateway(1), list(2)}, link.Back, link.Slow},
+		{4500 * time.Millisecond, Wire{gateway(1), list(2)}, link.There, link.Up},
+		{7 * time.Second, Wire{gateway(1), list(2)}, link.Back, link.Up},
+		{7 * time.Second, Wire{list(1), list(0)}, link.There, link.Dropped},
+		{12 * time.Second, Wire{list(1), list(0)}, link.There, link.Up},
+		{20200 * time.Millisecond, backends, link.There, link.Cut},
+		{20200 * time.Millisecond, backends, link.Back, ""},
+		{20700 * time.Millisecond, backends, link.There, link.Up},
+		{21200 * time.Millisecond, backends, link.There, link.Cut},
+		{30 * time.Second, backends, link.There, link.Up},
+	} {
+		if other := follow(w, c.at, as); len(other) > 0 {
+			t.Errorf("%v: %v", c.at, other)
+		}
+		if got := as[wiredWay{c.wire, c.way}].Kind; got != c.want {
+			t.Errorf("at %v, %v, way %d: %q, not %q", c.at, c.wire, c.way, got, c.want)
+		}
+	}
+	for at, how := range as {
+		if how.Kind != link.Up {
+			t.Errorf("%v is %v at the end", at, how)
+		}
+	}
+}
+
+// One way between two gateways may be lost or late and the other not, and a gateway's
+// links to backends and the counter fail as they are told to.
+func TestLinksOfGateways(t *testing.T) {
+	w := New(linked(t,
+		scenario.Fault{At: 1 * second, For: 2 * second, From: "n0", To: "n1", Way: "there", How: "dropped"},
+		scenario.Fault{At: 4 * second, For: 1 * second, From: "n0", To: "n1", Way: "back", How: "delayed", Delay: second / 2},
+		scenario.Fault{At: 6 * second, For: 1 * second, From: "n2", To: "backends of a", How: "dropped"},
+		scenario.Fault{At: 6 * second, For: 1 * second, From: "n2", To: "counter", How: "refused"},
+	))
+	w.Begin(0)
+	as := map[wiredWay]link.How{}
+	number := uint64(0)
+	// passes sends a datagram, and tells how long it took; below 0: it was lost.
+	passes := func(at time.Duration, from, to int) time.Duration {
+		follow(w, at, as)
+		number++
+		actions := w.Step(at, Datagram{Number: number, From: from, To: to, Bytes: 100})
+		for next, ok := w.Next(); ok && next < at+650*time.Millisecond; next, ok = w.Next() {
+			actions = append(actions, w.Step(next, Tick{})...)
+		}
+		for _, a := range actions {
+			if d, ok := a.Do.(Deliver); ok && d.Number == number {
+				return a.Due - at
+			}
+		}
+		return -1
+	}
+	for _, c := range []struct {
+		at          time.Duration
+		from, to    int
+		least, most time.Duration
+	}{
+		{500 * time.Millisecond, 0, 1, 0, 100 * time.Millisecond}, {1501 * time.Millisecond, 0, 1, -1, -1}, {2300 * time.Millisecond, 1, 0, 0, 100 * time.Millisecond},
+		{4100 * time.Millisecond, 1, 0, 500 * time.Millisecond, 600 * time.Millisecond}, {4900 * time.Millisecond, 0, 1, 0, 100 * time.Millisecond},
+	} {
+		if took := passes(c.at, c.from, c.to); took < c.least || took > c.most {
+			t.Errorf("at %v from n%d to n%d: %v", c.at, c.from, c.to, took)
+		}
+	}
+	links := map[edge]LinkState{}
+	for _, do := range follow(w, 6500*time.Millisecond, as) {
+		if l, ok := do.(Link); ok {
+			links[edge{l.Gateway, l.Peer}] = l.State
+		}
+	}
+	if len(links) != 4 || links[edge{2, 0}] != Silent || links[edge{2, 2}] != Silent || links[edge{2, 4}] != Silent || links[edge{2, Counter}] != Refusing {
+		t.Errorf("%v", links)
+	}
+	for _, do := range follow(w, 8*time.Second, as) {
+		if l, ok := do.(Link); ok {
+			links[edge{l.Gateway, l.Peer}] = l.State
+		}
+	}
+	for at, state := range links {
+		if state != Up {
+			t.Errorf("%v is %v at the end", at, state)
+		}
+	}
+}
--- a/internal/world/peers.go
+++ b/internal/world/peers.go
@@ -26,7 +26,11 @@
 		if here != there && (w.cuts[here] > 0 || w.cuts[there] > 0) || draw(1) < w.s.Network.PeerLoss {
 			continue
 		}
-		late := w.s.Network.Delay.D() + time.Duration(draw(2)*float64(w.s.Network.PeerDelay))
+		passes, later := w.betweenGateways(e.From, to, draw(3))
+		if !passes {
+			continue
+		}
+		late := later + w.s.Network.Delay.D() + time.Duration(draw(2)*float64(w.s.Network.PeerDelay))
 		if here != there {
 			late += w.s.Network.CrossZone.D()
 		}
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -4,7 +4,11 @@
 // A driver carries the actions out, on sockets or in simulated time.
 package world
 
-import "time"
+import (
+	"time"
+
+	"dunlintray/internal/link"
+)
 
 // Conn is a connection that a gateway has opened, numbered by the driver.
 type Conn uint64
@@ -153,6 +157,12 @@
 		Gateway, Peer int
 		State         LinkState
 	}
+	// Rewire changes how one way of a link between processes carries.
+	Rewire struct {
+		Wire
+		Way link.Way
+		How link.How
+	}
 	// Enlist tells discovery of a backend. Lost means that it says nothing more.
 	Enlist struct {
 		Entry
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"dunlintray/internal/link"
 	"dunlintray/internal/referee"
 	"dunlintray/internal/results"
 	"dunlintray/internal/scenario"
@@ -25,18 +26,20 @@
 	backends []*backend
 	groups   map[group]map[string]time.Duration // keys seen, until when
 	conns    map[Conn]*conn
-	links    map[link]LinkState
+	links    map[edge]LinkState
 	counter  counter
 	clients  clients
 	peers    peers
 	faults   *rand.Rand
 	cuts     map[int]int // zones that are cut off, by how many faults
-	heard    map[link]Entry
+	heard    map[edge]Entry
 	hushed   int // faults that hold all lists
+	broken   []*broken
+	wired    map[wiredWay]link.How // as the driver was told
 	stale    int
 }
 
-type link struct{ gateway, peer int }
+type edge struct{ gateway, peer int }
 
 type group struct{ kind, n int }
 
@@ -85,7 +88,7 @@
 // to be one that Check finds no fault with.
 func New(s *scenario.Scenario) *World {
 	w := &World{s: s, Judge: referee.New(s), Tally: results.New(s), groups: map[group]map[string]time.Duration{}, conns: map[Conn]*conn{},
-		links: map[link]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}, heard: map[link]Entry{}}
+		links: map[edge]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}, heard: map[edge]Entry{}, wired: map[wiredWay]link.How{}}
 	w.counter.names = map[string]*number{}
 	w.gateways = make([]gateway, s.Fleet.Gateways)
 	for g := range w.gateways {
