--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -101,6 +101,7 @@
 	programs
 	Scenario string   `arg:"" help:"A file, or the name of a scenario that ships: ${scenarios}."`
 	Seed     *uint64  `help:"Another seed than the scenario's."`
+	Faults   string   `help:"random: faults drawn by the seed, in place of the scenario's." enum:"own,random" default:"own"`
 	Tried    []string `help:"Rules, or parts of them as resend/once, that have to be tried, in place of the scenario's own." placeholder:"RULE"`
 }
 
@@ -112,6 +113,17 @@
 	if c.Seed != nil {
 		s.Seed = *c.Seed
 	}
+	if c.Faults == "random" {
+		// What was drawn can be played again by the seed, or from what is printed.
+		s.Draw()
+		s.Tried = nil
+		fmt.Fprintf(out, "# play %s --seed %d --faults random\n", c.Scenario, s.Seed)
+		if err := toml.NewEncoder(out).Encode(struct {
+			Faults []scenario.Fault `toml:"fault"`
+		}{s.Faults}); err != nil {
+			return err
+		}
+	}
 	if len(c.Tried) > 0 {
 		s.Tried = c.Tried
 	}
--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -322,6 +322,7 @@
 		{"play " + bad, 1, bad + ":1: colour: no such key"},
 		{"play nowhere.toml", 1, "no such file"},
 		{"play calm --gateway /nowhere", 1, "build all with"},
+		{"play calm --seed 7 --faults random --gateway /nowhere", 1, "# play calm --seed 7 --faults random\n[[fault]]\nkind = "},
 		{"play calm --tried drain,juggling", 1, `there is no rule "juggling"; there are answer, twice`},
 		{"config check " + bad, 1, ":1: colour"},
 		{"config print", 0, "[[class]]"},
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -518,6 +518,10 @@
 	case world.KillService:
 		e.killed[a.Service] = true
 		e.services[a.Service].signal(syscall.SIGKILL)
+	case world.FreezeService:
+		e.services[a.Service].signal(syscall.SIGSTOP)
+	case world.ThawService:
+		e.services[a.Service].signal(syscall.SIGCONT)
 	case world.StartService:
 		e.services[a.Service].end(0)
 		if err := e.startService(a.Service); err != nil {
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -277,6 +277,15 @@
 			continue
 		}
 		want(f.From == "" && f.To == "" && f.Way == "" && f.How == "" && f.Delay == 0 && f.Jitter == 0 && f.Flap == 0, key("from"), "it is no link")
+		if f.Who != "" {
+			who, err := s.ParseParty(f.Who)
+			want(kind.Who, key("who"), "it takes none")
+			want(err == nil, key("who"), "%v", err)
+			want(err != nil || who.Kind == Gateways || who.Kind == Lists, key("who"), "%q are neither gateways nor list services", f.Who)
+			want(who.Kind != Lists || s.Fleet.KeepLists || f.Kind == "freeze", key("who"), "list services without keep_lists forget everything")
+			want(f.Part == 0 && f.Zone == "" && f.Size == 0, key("part"), "it takes neither part, zone nor size beside who")
+			continue
+		}
 		inZone := slices.Contains(s.Fleet.Zones, f.Zone)
 		want(f.Zone == "" || inZone, key("zone"), "%q is not a zone of the fleet", f.Zone)
 		switch {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -143,18 +143,20 @@
 	Kind string   `toml:"kind"`
 	At   Duration `toml:"at"`
 	For  Duration `toml:"for"`
-	Part float64  `toml:"part"` // share of those that it can befall
-	Zone string   `toml:"zone"` // befalls this zone alone
-	Size float64  `toml:"size"` // see Kinds
+	Part float64  `toml:"part,omitempty"` // share of those that it can befall
+	Zone string   `toml:"zone,omitempty"` // befalls this zone alone
+	Size float64  `toml:"size,omitempty"` // see Kinds
+
+	Who string `toml:"who,omitempty"` // a process or several, see ParseParty, in place of part and zone
 
 	// Of a link:
-	From   string   `toml:"from"` // whoever connects, see ParseParty
-	To     string   `toml:"to"`
-	Way    string   `toml:"way"` // there, back or both; both, if empty
-	How    string   `toml:"how"` // see link.Kinds
-	Delay  Duration `toml:"delay"`
-	Jitter Duration `toml:"jitter"`
-	Flap   Duration `toml:"flap"` // it comes and goes, each for so long; 0: it stays
+	From   string   `toml:"from,omitempty"` // whoever connects, see ParseParty
+	To     string   `toml:"to,omitempty"`
+	Way    string   `toml:"way,omitempty"` // there, back or both; both, if empty
+	How    string   `toml:"how,omitempty"` // see link.Kinds
+	Delay  Duration `toml:"delay,omitempty"`
+	Jitter Duration `toml:"jitter,omitempty"`
+	Flap   Duration `toml:"flap,omitempty"` // it comes and goes, each for so long; 0: it stays
 }
 
 // Kind tells what a kind of fault takes.
@@ -164,14 +166,16 @@
 	Size  string // what the size is; empty where it takes none
 	Share bool   // the size is a share
 	Link  bool   // it takes from, to, way and how
+	Who   bool   // it can be told who, and befalls list services too
 	What  string
 }
 
 // Kinds are the faults that there are.
 var Kinds = map[string]Kind{
-	"kill":           {Parts: true, What: "gateways are killed, and started again after for"},
+	"kill":           {Parts: true, Who: true, What: "gateways, or list services, are killed, and started again after for"},
+	"gone":           {Parts: true, Who: true, What: "machines of gateways, or of list services, fall silent with all their connections, and are started again after for"},
 	"restart":        {Parts: true, What: "gateways are told to end and started again, a tenth at a time over for"},
-	"freeze":         {Parts: true, What: "gateways stand still (SIGSTOP)"},
+	"freeze":         {Parts: true, Who: true, What: "gateways, or list services, stand still (SIGSTOP)"},
 	"crash":          {Parts: true, What: "processes of backends end; they come back cold after for"},
 	"vanish":         {Parts: true, What: "machines of backends fall silent; they come back cold"},
 	"replace":        {Parts: true, What: "backends drain and leave in steps over for, others come cold in their place"},
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -87,3 +89,36 @@
 		}
 	})
 }
+
+// What is drawn can be played, is bounded, and is the same for a seed; in time every
+// kind and every link is drawn.
+func TestDraw(t *testing.T) {
+	drawn := map[string]bool{}
+	for seed := range uint64(400) {
+		s := Default()
+		s.Seed, s.Fleet.ListServices, s.Fleet.Gateways = seed, int(seed%4), 3+int(seed%5)
+		if seed%7 == 0 {
+			s.Fleet.Zones, s.Fleet.KeepLists = []string{"a"}, false
+		}
+		s.Draw()
+		if problems := s.Check(); len(problems) > 0 || len(s.Faults) == 0 {
+			t.Fatalf("seed %d: %v of %+v", seed, problems, s.Faults)
+		}
+		for _, f := range s.Faults {
+			if f.At < Duration(drawNothing) || f.For > Duration(drawMost) || f.At+f.For > s.Duration*3/4+Duration(time.Millisecond) {
+				t.Errorf("seed %d: %+v in a day of %v", seed, f, s.Duration)
+			}
+			drawn[f.Kind], drawn[f.From+f.To], drawn[f.How], drawn[f.Who] = true, true, true, true
+		}
+		again := s
+		again.Draw()
+		if !reflect.DeepEqual(again.Faults, s.Faults) {
+			t.Errorf("seed %d: drawn twice, two schedules", seed)
+		}
+	}
+	for _, want := range []string{"kill", "gone", "freeze", "cut", "list_stale", "listslist0", "backendslist0", "gateways of alists", "slow", "stalled", "list1"} {
+		if !drawn[want] {
+			t.Errorf("%s is never drawn", want)
+		}
+	}
+}
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -18,7 +18,11 @@
 	}
 	end := func(do func()) { w.after(f.For.D(), do) }
 	switch f.Kind {
-	case "kill", "restart", "freeze":
+	case "kill", "gone", "restart", "freeze":
+		if f.Who != "" {
+			w.onWhom(f)
+			return
+		}
 		struck := w.struck(len(w.gateways), f.Part, f.Zone, w.Zone, func(g int) bool { return w.gateways[g].state == up })
 		text += fmt.Sprintf(": gateways %d", struck)
 		w.do(Mark{text})
@@ -69,8 +73,8 @@
 		w.lists()
 		end(func() { w.stale--; w.lists() })
 	case "writer_killed":
-		w.do(KillService{0})
-		end(func() { w.do(StartService{0}) })
+		w.onWhom(&scenario.Fault{Kind: "kill", For: f.For, Who: "list0"})
+		return
 	case "link":
 		w.do(Mark{fmt.Sprintf("links from %s to %s, %s: %s for %v", f.From, f.To, cmp.Or(f.Way, "both"), f.How, f.For)})
 		w.breakLink(f)
@@ -95,6 +99,8 @@
 			w.after(f.For.D(), func() { w.boot(g) })
 		case "freeze":
 			w.freeze(g, f.For.D())
+		case "gone":
+			w.vanish(g, f.For.D())
 		case "restart": // a tenth at a time
 			step := (i * 10 / len(struck))
 			w.after(f.For.D()*time.Duration(step)/10, func() { w.stop(g) })
@@ -102,6 +108,45 @@
 	}
 }
 
+// onWhom strikes the processes that a fault names.
+func (w *World) onWhom(f *scenario.Fault) {
+	who, _ := w.s.ParseParty(f.Who) // Check has read it
+	w.do(Mark{fmt.Sprintf("%s of %s for %v", f.Kind, f.Who, f.For)})
+	if who.Kind == scenario.Gateways {
+		var struck []int
+		for g := range w.gateways {
+			if w.has(who, End{who.Kind, g}) && w.gateways[g].state == up {
+				struck = append(struck, g)
+			}
+		}
+		w.onGateways(f, struck)
+		return
+	}
+	for k := range w.s.Fleet.ListServices {
+		if !w.has(who, End{who.Kind, k}) || w.struckServices[k] {
+			continue
+		}
+		w.struckServices[k] = true
+		switch f.Kind {
+		case "kill":
+			w.do(KillService{k})
+		default:
+			w.do(FreezeService{k})
+		}
+		w.after(f.For.D(), func() {
+			delete(w.struckServices, k)
+			switch f.Kind {
+			case "freeze":
+				w.do(ThawService{k})
+				return
+			case "gone": // its connections have stood till now, in silence
+				w.do(KillService{k})
+			}
+			w.do(StartService{k})
+		})
+	}
+}
+
 func (w *World) onBackends(f *scenario.Fault, struck []int) {
 	for i, n := range struck {
 		b := w.backends[n]
--- a/internal/world/gateways.go
+++ b/internal/world/gateways.go
@@ -79,6 +79,31 @@
 	})
 }
 
+// vanish takes a gateway's machine away: the process says nothing, and what is
+// connected to it stands, until another is started.
+func (w *World) vanish(n int, d time.Duration) {
+	g := &w.gateways[n]
+	if g.state != up {
+		return
+	}
+	g.state = down
+	g.lives++
+	lives := g.lives
+	w.Judge.Excuse(w.now, n)
+	w.do(Freeze{n})
+	w.after(w.s.Network.Notice.D(), func() {
+		if g.lives == lives {
+			g.front = false
+		}
+	})
+	w.after(d, func() {
+		if g.lives == lives {
+			w.do(Kill{n})
+			w.boot(n)
+		}
+	})
+}
+
 // boot starts its next process, once the last has ended.
 func (w *World) boot(n int) {
 	g := &w.gateways[n]
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -185,9 +185,11 @@
 	Stop   struct{ Gateway int }
 	Freeze struct{ Gateway int }
 	Thaw   struct{ Gateway int }
-	// KillService and StartService are of a list service's process.
-	KillService  struct{ Service int }
-	StartService struct{ Service int }
+	// These are of a list service's process.
+	KillService   struct{ Service int }
+	StartService  struct{ Service int }
+	FreezeService struct{ Service int }
+	ThawService   struct{ Service int }
 	// Rude connections are opened to a gateway and end after a while.
 	Rude struct {
 		Gateway, Connections int
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -35,8 +35,10 @@
 	heard    map[edge]Entry
 	hushed   int // faults that hold all lists
 	broken   []*broken
-	wired    map[wiredWay]link.How // as the driver was told
-	stale    int
+
+	struckServices map[int]bool          // list services that a fault has
+	wired          map[wiredWay]link.How // as the driver was told
+	stale          int
 }
 
 type edge struct{ gateway, peer int }
@@ -88,7 +90,7 @@
 // to be one that Check finds no fault with.
 func New(s *scenario.Scenario) *World {
 	w := &World{s: s, Judge: referee.New(s), Tally: results.New(s), groups: map[group]map[string]time.Duration{}, conns: map[Conn]*conn{},
-		links: map[edge]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}, heard: map[edge]Entry{}, wired: map[wiredWay]link.How{}}
+		links: map[edge]LinkState{}, faults: rand.New(rand.NewPCG(s.Seed, streamFaults)), cuts: map[int]int{}, heard: map[edge]Entry{}, wired: map[wiredWay]link.How{}, struckServices: map[int]bool{}}
 	w.counter.names = map[string]*number{}
 	w.gateways = make([]gateway, s.Fleet.Gateways)
 	for g := range w.gateways {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -53,6 +54,63 @@
 	}
 }
 
+// Nor do they under faults that are drawn.
+func TestSoundGatewaysUnderDrawnFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		s := troubled(seed)
+		s.Draw()
+		h := playDoubles(s, "")
+		if violations, counts := h.w.Judge.Violations(); len(counts) > 0 || !h.w.Done() {
+			t.Errorf("seed %d: done %v, %v\n%v\n%+v", seed, h.w.Done(), counts, violations, s.Faults)
+		}
+	}
+}
+
+// Processes that a fault names are struck, and no others, and come back.
+func TestStruckByName(t *testing.T) {
+	s := scenario.Default()
+	s.Fleet.ListServices, s.Load.RequestsPerS, s.Duration = 3, 1e-9, 20*second
+	s.Faults = []scenario.Fault{{Kind: "gone", At: second, For: 2 * second, Who: "list1"}, {Kind: "kill", At: 2 * second, For: 2 * second, Who: "lists"},
+		{Kind: "freeze", At: 6 * second, For: second, Who: "list0"}, {Kind: "gone", At: 8 * second, For: second, Who: "n2"}, {Kind: "kill", At: 10 * second, For: second, Who: "gateways of a"}}
+	if problems := s.Check(); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	w := New(&s)
+	for g := range s.Fleet.Gateways {
+		w.Step(0, Ready{g})
+	}
+	w.Begin(0)
+	var got []string
+	for next, ok := w.Next(); ok && next < 13*time.Second; next, ok = w.Next() {
+		for _, a := range w.Step(next, Tick{}) {
+			switch do := a.Do.(type) {
+			case KillService, StartService, FreezeService, ThawService, Freeze, Start:
+				got = append(got, fmt.Sprintf("%v %T %v", a.Due, do, do))
+			case Kill:
+				got = append(got, fmt.Sprintf("%v %T %v", a.Due, do, do))
+				w.Step(next, Exited{do.Gateway, "killed"})
+			}
+		}
+	}
+	want := `1s world.FreezeService {1}
+2s world.KillService {0}
+2s world.KillService {2}
+3s world.KillService {1}
+3s world.StartService {1}
+4s world.StartService {0}
+4s world.StartService {2}
+6s world.FreezeService {0}
+7s world.ThawService {0}
+8s world.Freeze {2}
+9s world.Kill {2}
+9.1s world.Start {2}
+10s world.Kill {0}
+11s world.Start {0}`
+	if text := strings.Join(got, "\n"); text != want {
+		t.Errorf("%s\nwant\n%s", text, want)
+	}
+}
+
 // Each planted defect is named by the rule that it breaks, and by no other that
 // it does not lead to.
 func TestDefectsAreNamed(t *testing.T) {
