--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -39,7 +39,7 @@
 	Play    playCmd    `cmd:"" help:"Play a scenario and judge it."`
 	Config  configCmd  `cmd:"" help:"Check and print configurations."`
 	Call    callCmd    `cmd:"" help:"Call a gateway's or a list service's control address."`
-	Members membersCmd `cmd:"" help:"Show whom a gateway takes for present."`
+	Members membersCmd `cmd:"" help:"Show whom a gateway takes for present, or compare the views of several and find the cut."`
 	Data    dataCmd    `cmd:"" help:"Look at the data of list services that are stopped."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -345,6 +345,46 @@
 	}
 }
 
+// The views of several gateways are compared; who does not tell, or has another's
+// number, is named.
+func TestMembersOfSeveral(t *testing.T) {
+	gateway := func(self int, states string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if self < 0 {
+				http.Error(w, "membership is off", http.StatusNotFound)
+				return
+			}
+			var members []string
+			for n, state := range strings.Fields(states) {
+				members = append(members, fmt.Sprintf(`{"number":%d,"state":%q}`, n, state))
+			}
+			fmt.Fprintf(w, `{"self":%d,"on":true,"members":[%s,{"number":1000000000,"state":"alive"}]}`+"\n", self, strings.Join(members, ","))
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	a, b := gateway(0, "alive suspect dead"), gateway(1, "alive alive left")
+	c, off := gateway(2, "dead dead alive"), gateway(-1, "")
+	for _, row := range []struct {
+		args   []string
+		status int
+		want   string
+	}{
+		{[]string{a}, 0, "suspect  0s"},
+		{[]string{a, b}, 0, "present to none: n2\nall 2 agree\n"},
+		{[]string{a, c, b}, 0, "likely cut: n0 n1 | n2\n"},
+		{[]string{a, off, b}, 1, off + " does not tell: no: 404"},
+		{[]string{a, b, gateway(1, "alive alive alive")}, 1, "both say that they are n1; only the first is compared\npresent to none: n2\nall 2 agree"},
+		{[]string{"--json", a, c}, 0, `{"self":2`},
+		{[]string{off}, 1, "membership is off"},
+	} {
+		status, text := command(t.Context(), append([]string{"members"}, row.args...)...)
+		if status != row.status || !strings.Contains(text, row.want) {
+			t.Errorf("%v: ended with %d:\n%s", row.args, status, text)
+		}
+	}
+}
+
 // A folder can be looked at and made smaller while nobody has it; damage is named.
 func TestData(t *testing.T) {
 	dir := t.TempDir()
--- /dev/null
+++ b/internal/views/views.go
@@ -0,0 +1,140 @@
+// Package views compares what several gateways hold of who is present, and finds
+// where the fleet is likely to be cut. It is pure.
+package views
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// View is whom one gateway holds for present, by number; itself always.
+type View struct {
+	Self    int
+	Present []bool
+}
+
+func (v View) holds(n int) bool { return n == v.Self || n < len(v.Present) && v.Present[n] }
+
+// Dispute is a member on which gateways differ.
+type Dispute struct {
+	Member          int
+	Present, Absent []int // who hold it so
+}
+
+// Report is what views come to.
+type Report struct {
+	Asked    []int
+	Groups   [][]int   // of those asked, who hold each other for present, some by way of others; the largest first
+	Disputes []Dispute // of members on whom those asked differ
+	OneWay   [][2]int  // the first holds the second for present, which does not hold the first
+	Bridges  []int     // members that gateways of more than one group hold for present
+	Gone     []int     // members that none of those asked holds for present
+}
+
+// Compare compares the views of gateways, of which each is asked once.
+func Compare(all []View) Report {
+	all = slices.Clone(all)
+	slices.SortFunc(all, func(a, b View) int { return a.Self - b.Self })
+	var r Report
+	members := 0
+	for _, v := range all {
+		r.Asked = append(r.Asked, v.Self)
+		members = max(members, v.Self+1, len(v.Present))
+	}
+	group := make([]int, len(all)) // of each view; found by passing the least on
+	for i := range all {
+		group[i] = i
+	}
+	for changed := true; changed; {
+		changed = false
+		for i, a := range all {
+			for j, b := range all[i+1:] {
+				j += i + 1
+				if a.holds(b.Self) && b.holds(a.Self) && group[i] != group[j] {
+					least := min(group[i], group[j])
+					group[i], group[j], changed = least, least, true
+				}
+			}
+		}
+	}
+	for i, v := range all {
+		if group[i] == i {
+			r.Groups = append(r.Groups, nil)
+			for j, other := range all {
+				if group[j] == i {
+					r.Groups[len(r.Groups)-1] = append(r.Groups[len(r.Groups)-1], other.Self)
+				}
+			}
+		}
+		for _, other := range all {
+			if v.holds(other.Self) && !other.holds(v.Self) {
+				r.OneWay = append(r.OneWay, [2]int{v.Self, other.Self})
+			}
+		}
+	}
+	slices.SortStableFunc(r.Groups, func(a, b []int) int { return len(b) - len(a) })
+	for n := range members {
+		d := Dispute{Member: n}
+		held := map[int]bool{} // by groups
+		for i, v := range all {
+			if v.holds(n) {
+				d.Present = append(d.Present, v.Self)
+				held[group[i]] = true
+			} else {
+				d.Absent = append(d.Absent, v.Self)
+			}
+		}
+		switch {
+		case len(d.Present) == 0:
+			r.Gone = append(r.Gone, n)
+		case len(d.Absent) > 0:
+			r.Disputes = append(r.Disputes, d)
+		}
+		if len(held) > 1 {
+			r.Bridges = append(r.Bridges, n)
+		}
+	}
+	return r
+}
+
+// Agree says whether all that were asked hold the same.
+func (r Report) Agree() bool { return len(r.Disputes) == 0 }
+
+func names(all []int) string {
+	text := make([]string, len(all))
+	for i, n := range all {
+		text[i] = fmt.Sprintf("n%d", n)
+	}
+	return strings.Join(text, " ")
+}
+
+// Write tells people who differs on whom, and where the cut is likely to be.
+func (r Report) Write(w io.Writer) {
+	if len(r.Gone) > 0 {
+		fmt.Fprintf(w, "present to none: %s\n", names(r.Gone))
+	}
+	if r.Agree() {
+		fmt.Fprintf(w, "all %d agree\n", len(r.Asked))
+		return
+	}
+	for _, d := range r.Disputes {
+		fmt.Fprintf(w, "n%d: present to %s; absent to %s\n", d.Member, names(d.Present), names(d.Absent))
+	}
+	for _, pair := range r.OneWay {
+		fmt.Fprintf(w, "n%d holds n%d for present, but n%d does not hold n%d\n", pair[0], pair[1], pair[1], pair[0])
+	}
+	if len(r.Groups) > 1 {
+		var sides []string
+		for _, g := range r.Groups {
+			sides = append(sides, names(g))
+		}
+		fmt.Fprintf(w, "likely cut: %s\n", strings.Join(sides, " | "))
+		if len(r.Bridges) > 0 {
+			fmt.Fprintf(w, "on both sides: %s\n", names(r.Bridges))
+		}
+		return
+	}
+	fmt.Fprintln(w, "no cut among those asked: each reaches each, some by way of others")
+}
