Plays: a list service's next life is not ended by word of its last; links fail in TestPlay

Cause: the end of a killed list service was told after the next had been started (do: StartService sets killed to false at once), so a machine that went and came back in one moment ended the play: 'list1 ended by itself (signal: killed)', in the first run of TestPlay with such a fault.

Change: the word of an end bears the life that it is of. TestPlay has links and a machine that fail where there are list services.

--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -203,9 +203,9 @@
 	return all
 }
 
-// Two fleets of real processes play side by side through a kill, a restart, a
-// freeze and a replacement, with list services and without. No rule is broken,
-// most is served, and nothing is left.
+// Fleets of real processes play side by side through a kill, a restart, a freeze and
+// a replacement, without list services, with one and with two, whose links and
+// machines fail too. No rule is broken, most is served, and nothing is left.
 func TestPlay(t *testing.T) {
 	const faults = `
 [[fault]]
@@ -234,10 +234,14 @@
 for = "1s"
 size = 20.0
 `
+	// What can fail between these processes.
+	const link = "[[fault]]\nkind = \"link\"\nat = \"1s\"\nfor = \"700ms\"\n"
+	links := [3]string{"", link + "from = \"backends\"\nto = \"list0\"\nhow = \"reset\"\n" + link + "from = \"n0\"\nto = \"lists\"\nway = \"back\"\nhow = \"stalled\"\n"}
+	links[2] = links[1] + link + "from = \"lists\"\nto = \"list0\"\nhow = \"dropped\"\n[[fault]]\nkind = \"gone\"\nat = \"1500ms\"\nfor = \"500ms\"\nwho = \"list1\"\n"
 	var wg sync.WaitGroup
 	for services := range 3 {
 		dir := t.TempDir()
-		scenario := file(t, fmt.Sprintf(small, services, faults))
+		scenario := file(t, fmt.Sprintf(small, services, faults+links[services]))
 		wg.Go(func() {
 			results := filepath.Join(dir, "results")
 			status, text := command(t.Context(), "play", scenario, "--gateway", bin+"/gateway", "--registry", bin+"/registry", "--dir", dir, "--json", results, "--tried", "answer,crash,peer")
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -65,6 +65,7 @@
 // serviceExited says that a list service's process has ended.
 type serviceExited struct {
 	service int
+	life    int
 	how     string
 }
 
@@ -93,6 +94,7 @@
 	services  []*process
 	configs   [][]byte     // of the services
 	killed    map[int]bool // services that a fault has ended; of the loop
+	lives     map[int]int  // of services, begun; of the loop
 	callers   []*callers
 	agents    [][]*agent // by gateway, one for each list service
 	peers     map[between]*peer
@@ -122,7 +124,7 @@
 // started is left when it returns.
 func Run(ctx context.Context, s *scenario.Scenario, o Options) (*Result, error) {
 	e := &engine{s: s, o: o, epoch: time.Now(), events: make(chan stamped, mostEvents), peers: map[between]*peer{}, wires: map[world.Wire]*link.Relay{},
-		served: map[world.Conn]*served{}, killed: map[int]bool{}, methods: map[string]string{},
+		served: map[world.Conn]*served{}, killed: map[int]bool{}, lives: map[int]int{}, methods: map[string]string{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Fleet.Gateways + 4}, Timeout: 65 * time.Second}}
 	for _, c := range s.Classes {
 		e.methods[c.Name] = http.MethodPost
@@ -292,7 +294,9 @@
 // ends the play.
 func (e *engine) startService(k int) error {
 	p := e.services[k]
-	return p.start(e.starter, e.configs[k], func(how string) { e.post(serviceExited{k, how}) })
+	e.lives[k]++
+	life := e.lives[k]
+	return p.start(e.starter, e.configs[k], func(how string) { e.post(serviceExited{k, life, how}) })
 }
 
 // startAround makes what one gateway meets.
@@ -434,7 +438,8 @@
 		delete(e.served, x.conn.id)
 		what = world.Closed{Conn: x.conn.id}
 	case serviceExited:
-		if !e.killed[x.service] && e.failed == nil {
+		// The end of an earlier life may be told when the next has begun.
+		if x.life == e.lives[x.service] && !e.killed[x.service] && e.failed == nil {
 			e.failed = fmt.Errorf("%s ended by itself (%s); it said:\n%s", e.services[x.service].name, x.how, e.services[x.service].lastWords())
 		}
 		return
