The gateway's test through list services has its links fail by relays

Need: one fault layer under plays and tests; this test had a listener of its own that could only sleep.

Change: list services stand behind link.Relay; beside slow answers the test has them delayed, dripping, cut, stalled, dropped and reset, from both services at once.

--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -13,17 +13,16 @@
 	"testing"
 	"time"
 
+	fault "dunlintray/internal/link"
 	"dunlintray/internal/registry"
 	"dunlintray/internal/wal"
 )
 
-// listService is a registry that can be stopped and slowed.
+// listService is a registry behind a link that can fail.
 type listService struct {
 	address string
 	stop    func()
-
-	mu    sync.Mutex
-	delay time.Duration
+	link    *fault.Relay
 }
 
 var (
@@ -31,48 +30,31 @@
 	serveLimits = registry.ServerLimits{Connections: 100, Watchers: 90, Lists: 100}
 )
 
-// startService serves at an address, behind something that may slow it.
+// startService serves behind a relay at an address.
 func startService(t *testing.T, address string, serve func(context.Context, net.Listener, net.Listener) error) *listService {
 	t.Helper()
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := fault.NewRelay(address, l.Addr().String(), fault.Limits{Connections: 100, Buffer: 64 << 10}, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s, done := &listService{address: l.Addr().String()}, make(chan struct{})
-	go func() { defer close(done); serve(ctx, slowListener{l, s}, nil) }()
-	s.stop = sync.OnceFunc(func() { cancel(); <-done })
+	s, done := &listService{address: r.Address(), link: r}, make(chan struct{})
+	go func() { defer close(done); serve(ctx, l, nil) }()
+	s.stop = sync.OnceFunc(func() { cancel(); <-done; r.Close() })
 	t.Cleanup(s.stop)
 	return s
 }
 
-type slowListener struct {
-	net.Listener
-	s *listService
-}
-
-func (l slowListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return slowConn{c, l.s}, err
-}
-
-type slowConn struct {
-	net.Conn
-	s *listService
-}
-
-func (c slowConn) Write(p []byte) (int, error) {
-	c.s.mu.Lock()
-	delay := c.s.delay
-	c.s.mu.Unlock()
-	time.Sleep(delay) // of the network, which the test slows
-	return c.Conn.Write(p)
-}
-
-func (s *listService) slow(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = d
+// answers changes how the service's answers pass.
+func (s *listService) answers(t *testing.T, how fault.How) {
+	t.Helper()
+	if err := s.link.Set(fault.Back, how); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // startWriter starts a writer that keeps its list in a folder.
@@ -214,11 +196,13 @@
 	serves("at first")
 	drained(kept[0])
 
-	writer.slow(time.Second)
-	copied.slow(time.Second)
-	serves("with slow services")
-	writer.slow(0)
-	copied.slow(0)
+	for _, how := range []fault.How{{Kind: fault.Delayed, Delay: time.Second}, {Kind: fault.Slow, Bytes: 100}, {Kind: fault.Cut, Bytes: 40}, {Kind: fault.Stalled}, {Kind: fault.Dropped}, {Kind: fault.Reset}} {
+		writer.answers(t, how)
+		copied.answers(t, how)
+		serves("with answers " + string(how.Kind))
+	}
+	writer.answers(t, fault.How{Kind: fault.Up})
+	copied.answers(t, fault.How{Kind: fault.Up})
 	drained(kept[1])
 
 	writer.stop()
