A promoted list service that was fenced since says no to a promotion

Cause: Follower.promote answered 200 for whatever writes ('it is', promote.go), also where another had been put in its place and it refuses all writes: a call answered as done that did nothing. Found when all calls of list services and control addresses were looked at for that; no other was.

Change: 409 with the writer that is.

Measured: TestPromote has the three cases; the last got 200 before.

--- a/internal/registry/keeper_test.go
+++ b/internal/registry/keeper_test.go
@@ -283,6 +283,21 @@
 	}
 	w, _ = startKeeping(t, old, "127.0.0.1:0", f.address)
 	until(t, "the old writer copies the new one", has(w, "s-5"))
+
+	// One that was promoted is the writer when it is asked again, but not once another is.
+	promote := func() int {
+		code, _, _ := call(t, "POST", "http://"+f.control+"/control/promote", "")
+		return code
+	}
+	if code := promote(); code != 200 {
+		t.Errorf("promoted again: %d", code)
+	}
+	if code, text, _ := call(t, "POST", "http://"+f.address+FencePath, `{"epoch":9,"history":"other","writer":"127.0.0.1:9"}`); code != 200 {
+		t.Errorf("fenced: %d %s", code, text)
+	}
+	if code := promote(); code != 409 {
+		t.Errorf("promoted after it was fenced: %d", code)
+	}
 }
 
 // Whatever the clock says, a promotion's history begins above all versions before.
--- a/internal/registry/promote.go
+++ b/internal/registry/promote.go
@@ -179,6 +179,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case f.store.fence != nil && f.store.writes:
+		return refuse(http.StatusConflict, "%s has taken this writer's place (epoch %d)", f.store.fence.Writer, f.store.fence.Epoch)
 	case f.store.writes:
 		return nil // it is
 	case f.keeper == nil:
