Gateways say whether they stand whole, divided or alone, since when and why

Need: nothing told a person, or a gateway itself, that it is cut off.

Change: internal/reach (pure) judges members that answer, list services and the counter each half second, with hysteresis; /control/members, figures, log and dunlintray members show it; plays with membership show each change. Only where membership is on; off, a nil pointer is looked at for each counter call that ends. Nothing acts on it yet.

--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -362,7 +362,7 @@
 			for n, state := range strings.Fields(states) {
 				members = append(members, fmt.Sprintf(`{"number":%d,"state":%q}`, n, state))
 			}
-			fmt.Fprintf(w, `{"self":%d,"on":true,"members":[%s,{"number":1000000000,"state":"alive"}]}`+"\n", self, strings.Join(members, ","))
+			fmt.Fprintf(w, `{"self":%d,"on":true,"state":"divided","stateForMs":1500,"why":"hears little","members":[%s,{"number":1000000000,"state":"alive"}]}`+"\n", self, strings.Join(members, ","))
 		}))
 		t.Cleanup(s.Close)
 		return strings.TrimPrefix(s.URL, "http://")
@@ -375,7 +375,8 @@
 		want   string
 	}{
 		{[]string{a}, 0, "suspect  0s"},
-		{[]string{a, b}, 0, "present to none: n2\nall 2 agree\n"},
+		{[]string{a}, 0, "divided for 1.5s: hears little\n"},
+		{[]string{a, b}, 0, "n0: divided for 1.5s: hears little\nn1: divided for 1.5s: hears little\npresent to none: n2\nall 2 agree\n"},
 		{[]string{a, c, b}, 0, "likely cut: n0 n1 | n2\n"},
 		{[]string{a, off, b}, 1, off + " does not tell: no: 404"},
 		{[]string{a, b, gateway(1, "alive alive alive")}, 1, "both say that they are n1; only the first is compared\npresent to none: n2\nall 2 agree"},
--- a/cmd/dunlintray/members.go
+++ b/cmd/dunlintray/members.go
@@ -68,6 +68,7 @@
 			fmt.Fprintf(out, "%s and %s both say that they are n%d; only the first is compared\n", twice, c.Address[n], t.view.Self)
 		default:
 			asked[t.view.Self] = c.Address[n]
+			fmt.Fprintf(out, "n%d: %s\n", t.view.Self, standing(t.view))
 			found = append(found, viewOf(t.view))
 		}
 	}
@@ -94,6 +95,14 @@
 	return out
 }
 
+// standing is how a gateway says that it stands.
+func standing(v gateway.MembersView) string {
+	if v.State == "" {
+		return "does not say how it stands" // an earlier program
+	}
+	return fmt.Sprintf("%s for %v: %s", v.State, (time.Duration(v.StateForMs) * time.Millisecond).Round(100*time.Millisecond), v.Why)
+}
+
 // askMembers asks one gateway.
 func askMembers(ctx context.Context, address string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait)
@@ -120,6 +129,7 @@
 	if !v.On {
 		fmt.Fprintln(out, "takes no part yet: another process has its address")
 	}
+	fmt.Fprintln(out, standing(v))
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "gateway\tstate\tfor\tincarnation\tstarted")
 	for _, m := range v.Members {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"golang.org/x/net/netutil"
-
-	"dunlintray/internal/membership"
 )
 
 const (
@@ -23,7 +21,7 @@
 	figures *figures
 	ready   func() bool
 	byHand  func(id string, offline bool) (known bool, err error)
-	members *membership.Agent // nil: membership is off
+	members *standing // nil: membership is off
 }
 
 func (c *control) server() *http.Server {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,12 +94,19 @@
 	if err != nil {
 		return err
 	}
+	follow := newListFollower(c, front.loop)
+	var stands *standing
 	if members != nil {
 		present, gone := context.WithCancel(ctx) // a gateway that takes no more clients has left
 		defer gone()
 		wg.Go(func() { members.Run(present) })
+		var lists func() time.Duration
+		if follow.services != nil {
+			lists = follow.services.Age
+		}
+		stands = newStanding(members, lists, front.loop.contact, time.Now())
+		wg.Go(func() { stands.run(present) })
 	}
-	follow := newListFollower(c, front.loop)
 	inForce := c
 	wg.Go(func() { follow.run(inner) })
 	wg.Go(func() {
@@ -145,7 +152,7 @@
 	wg.Go(func() { failed <- server.Serve(front.clients) })
 	pair.serving()
 	if operators != nil {
-		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand, members: members}).server()
+		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand, members: stands}).server()
 		wg.Go(func() { failed <- call.Serve(operators) })
 		defer call.Close() // they may call until the end
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -69,6 +69,7 @@
 	gateway  *rules.Gateway
 	pools    *pools
 	counter  *counter
+	contact  *contact // with the counter; nil where nobody watches it
 	onListed func()
 	askAgain chan struct{} // the module wants discovery asked again
 
@@ -94,6 +95,9 @@
 	l := &Loop{clock: newClock(), service: s, figures: f, pools: p, counter: k, onListed: onListed,
 		askAgain: make(chan struct{}, 1), inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}}
+	if c.Members.Membership {
+		l.contact = &contact{}
+	}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -552,6 +556,7 @@
 		return
 	}
 	k.ended = true
+	l.contact.note(o)
 	l.handle(rules.CounterReply{Name: k.name, Outcome: o, Total: total, Took: l.clock.now() - k.sent})
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -88,17 +88,22 @@
 	Digest     string   `json:"digest"`
 	Same       int      `json:"same"`  // members whose view is this one
 	Heard      int      `json:"heard"` // of so many that are present and have told theirs
+	State      string   `json:"state"` // whole, divided or alone
+	StateForMs int64    `json:"stateForMs"`
+	Why        string   `json:"why"`
 	Members    []Member `json:"members"`
 }
 
-func membersHandler(a *membership.Agent) http.HandlerFunc {
+func membersHandler(s *standing) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		if a == nil {
+		if s == nil {
 			http.Error(w, errNoMembers.Error(), http.StatusNotFound)
 			return
 		}
-		v := a.View()
-		out := MembersView{Self: v.Self, On: v.On, Superseded: v.Superseded, Digest: fmt.Sprintf("%016x", v.Digest), Same: v.Same, Heard: v.Of}
+		v := s.agent.View()
+		state, since, why := s.state(time.Now())
+		out := MembersView{Self: v.Self, On: v.On, Superseded: v.Superseded, Digest: fmt.Sprintf("%016x", v.Digest), Same: v.Same, Heard: v.Of,
+			State: state.String(), StateForMs: since.Milliseconds(), Why: why}
 		for _, m := range v.Members {
 			out.Members = append(out.Members, Member{m.Number, m.State.String(), m.Incarnation, m.Start, (v.Now - m.Since).Milliseconds()})
 		}
@@ -108,11 +113,12 @@
 }
 
 // writeMembers puts the figures out.
-func writeMembers(w io.Writer, a *membership.Agent) {
-	if a == nil {
+func writeMembers(w io.Writer, s *standing) {
+	if s == nil {
 		return
 	}
-	v := a.View()
+	v := s.agent.View()
+	state, since, _ := s.state(time.Now())
 	states := map[membership.State]int64{}
 	for _, m := range v.Members {
 		states[m.State]++
@@ -125,7 +131,7 @@
 	}{{"alive", states[membership.Alive], "g"}, {"suspect", states[membership.Suspect], "g"}, {"dead", states[membership.Dead], "g"}, {"left", states[membership.Left], "g"},
 		{"unknown", states[membership.Unknown], "g"}, {"differing", int64(st.Differing), "g"}, {"health", int64(st.Health), "g"}, {"sent", st.Sent, "c"}, {"sent_bytes", st.SentBytes, "c"},
 		{"received", st.Received, "c"}, {"dropped", st.Dropped, "c"}, {"garbled", st.Garbled, "c"}, {"stale", st.Stale, "c"}, {"refuted", st.Refuted, "c"},
-		{"suspected", st.Suspected, "c"}, {"declared", st.Declared, "c"}} {
+		{"suspected", st.Suspected, "c"}, {"declared", st.Declared, "c"}, {"standing", int64(state), "g"}, {"standing_ms", since.Milliseconds(), "g"}} {
 		fmt.Fprintf(w, "app.members.%s:%d|%s\n", l.name, l.n, l.kind)
 	}
 }
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
+
+	"dunlintray/internal/membership"
+	"dunlintray/rules"
 )
 
 // membersText is a configuration of one of two gateways that tell each other who is
@@ -52,6 +58,78 @@
 	}
 }
 
+// How a gateway stands follows from its members, its list services and the counter,
+// and says so after a while.
+func TestStanding(t *testing.T) {
+	began := time.Now()
+	var members []netip.AddrPort
+	for n := range 3 {
+		members = append(members, netip.MustParseAddrPort(fmt.Sprint("127.0.0.1:", 7000+n)))
+	}
+	a, err := membership.NewAgent(membership.AgentConfig{Self: 0, Listen: members[0], Peers: members, InPerS: 50, Start: began}, rand.New(rand.NewPCG(1, 1)), func([]bool) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	age, counter := time.Second, &contact{}
+	s := newStanding(a, func() time.Duration { return age }, counter, began)
+	s.view = func() membership.View {
+		v := membership.View{Self: 0, On: true, Members: make([]membership.Member, 3)}
+		for n := range v.Members {
+			v.Members[n] = membership.Member{Number: n, State: membership.Dead}
+		}
+		return v
+	}
+	at, answers := began, false
+	stands := func() string {
+		for range 20 { // of half a second each
+			at = at.Add(lookGap)
+			counter.asked.Store(at.UnixNano())
+			if answers {
+				counter.answered.Store(at.UnixNano())
+			}
+			s.see(at)
+		}
+		state, _, why := s.state(at)
+		return state.String() + ": " + why
+	}
+	for _, step := range []struct {
+		change func()
+		want   string
+	}{
+		{func() {}, "divided: reaches none of 2 other gateways; the counter is silent"},
+		{func() { age = -1 }, "alone: reaches no other gateway, no list service and no counter"},
+		{func() { answers = true }, "divided: reaches none of 2"},
+		{func() { age, answers = listSilent+1, false }, "alone: "},
+		{func() {
+			age = 0
+			s.view = func() membership.View {
+				return membership.View{Self: 0, On: true, Members: []membership.Member{{Number: 0, State: membership.Alive}, {Number: 1, State: membership.Alive}, {Number: 2, State: membership.Left}}}
+			}
+		}, "whole: reaches 1 of 1"},
+		{func() {
+			s.view = func() membership.View {
+				return membership.View{Self: 0, On: true, Members: []membership.Member{{Number: 0, State: membership.Alive}, {Number: 1, State: membership.Suspect}, {Number: 2, State: membership.Left}}}
+			}
+		}, "divided: reaches none of 2"},
+		{func() {
+			s.view = func() membership.View { return membership.View{Self: 0, Members: make([]membership.Member, 3)} }
+		}, "divided: "}, // another process has its place, and it looks no more
+	} {
+		step.change()
+		if got := stands(); !strings.HasPrefix(got, step.want) {
+			t.Errorf("%s; want %s", got, step.want)
+		}
+	}
+	(*contact)(nil).note(rules.Served) // nobody watches
+	counter = &contact{}
+	if counter.note(rules.TimedOut); counter.answered.Load() >= counter.asked.Load() {
+		t.Error("a call that timed out counts as answered")
+	}
+	if counter.note(rules.Served); counter.answered.Load() != counter.asked.Load() {
+		t.Error("a call that was answered does not count")
+	}
+}
+
 // A gateway that takes part tells operators whom it holds for present, and the
 // module hears of it.
 func TestMembersView(t *testing.T) {
@@ -84,14 +162,15 @@
 		t.Fatal("the module hears nothing")
 	}
 	w := httptest.NewRecorder()
-	membersHandler(a)(w, nil)
+	stands := newStanding(a, nil, &contact{}, time.Now())
+	membersHandler(stands)(w, nil)
 	var v MembersView
-	if err := json.Unmarshal(w.Body.Bytes(), &v); err != nil || len(v.Members) != 1 || v.Members[0].State != "alive" || !v.On {
+	if err := json.Unmarshal(w.Body.Bytes(), &v); err != nil || len(v.Members) != 1 || v.Members[0].State != "alive" || !v.On || v.State != "whole" || v.Why == "" {
 		t.Errorf("%s, %v", w.Body, err)
 	}
 	var figures strings.Builder
-	writeMembers(&figures, a)
-	if !strings.Contains(figures.String(), "app.members.alive:1|g\n") {
+	writeMembers(&figures, stands)
+	if !strings.Contains(figures.String(), "app.members.alive:1|g\n") || !strings.Contains(figures.String(), "app.members.standing:0|g\n") {
 		t.Error(figures.String())
 	}
 	stop()
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -91,6 +91,11 @@
 		From, To int
 		Bytes    int
 	}
+	// Stands: a gateway says that it stands otherwise in its fleet.
+	Stands struct {
+		Gateway int
+		How     string
+	}
 	// Ready: a gateway takes clients.
 	Ready struct{ Gateway int }
 	// Exited: a gateway's process has ended.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -165,6 +166,8 @@
 		w.Judge.Enlisted(w.now, e.Backend, states[e.Lifecycle], e.Started, e.Version)
 	case Datagram:
 		w.datagram(e)
+	case Stands:
+		w.do(Mark{fmt.Sprintf("n%d stands %s", e.Gateway, e.How)})
 	case Ready:
 		w.ready(e.Gateway)
 	case Exited:
