--- a/internal/world/gateways.go
+++ b/internal/world/gateways.go
@@ -64,13 +64,18 @@
 // bootAfter is how long after its end a gateway's next process is started.
 const bootAfter = 100 * time.Millisecond
 
-// kill ends a gateway's process at once. The front sees it late.
+// kill ends a gateway's process at once.
 func (w *World) kill(n int) {
+	w.do(Kill{n})
+	w.lose(n)
+}
+
+// lose takes note that a gateway is gone, which the front sees late.
+func (w *World) lose(n int) {
 	g := &w.gateways[n]
 	g.state = down
 	g.lives++
 	w.Judge.Excuse(w.now, n)
-	w.do(Kill{n})
 	lives := g.lives
 	w.after(w.s.Network.Notice.D(), func() {
 		if g.lives == lives && g.state != up {
@@ -86,16 +91,9 @@
 	if g.state != up {
 		return
 	}
-	g.state = down
-	g.lives++
-	lives := g.lives
-	w.Judge.Excuse(w.now, n)
 	w.do(Freeze{n})
-	w.after(w.s.Network.Notice.D(), func() {
-		if g.lives == lives {
-			g.front = false
-		}
-	})
+	w.lose(n)
+	lives := g.lives
 	w.after(d, func() {
 		if g.lives == lives {
 			w.do(Kill{n})
