--- a/cmd/dunlintray/defects_test.go
+++ b/cmd/dunlintray/defects_test.go
@@ -165,8 +165,8 @@
 				}
 				without := sound[key]
 				mu.Unlock()
-				if counts := without().Counts; len(counts) > 0 {
-					t.Errorf("%s, seed %d, without the defect: %v", d.Scenario, seed+1, counts)
+				for _, v := range without().Violations {
+					t.Errorf("%s, seed %d, without the defect (late: %q): %v", d.Scenario, seed+1, without().Late, v)
 				}
 				t.Logf("| %s | %s | %s %d | %d | %.3f | %.3f |", d.Name, d.Rule, d.Scenario, seed+1, r.Counts[d.Rule], without().Tally.Share(), r.Tally.Share())
 			}
