--- a/internal/play/machine_test.go
+++ b/internal/play/machine_test.go
@@ -39,19 +39,20 @@
 
 // Where addresses are taken, others are found, or it is said that none were.
 func TestFindPlace(t *testing.T) {
-	l, err := net.Listen("tcp", place{200}.registry(0))
+	const one, other = pastLast, pastLast + 1 // which no run draws that goes on beside this test
+	l, err := net.Listen("tcp", place{one}.registry(0))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	draws := []int{200 - firstNet, 200 - firstNet, 201 - firstNet}
-	p, claim, err := findPlace(2, 1, func(int) int { d := draws[0]; draws = draws[1:]; return d })
-	if err != nil || p.net != 201 {
+	draws := []int{one, one, other}
+	p, claim, err := findPlace(2, 1, func(int) int { d := draws[0]; draws = draws[1:]; return d - firstNet })
+	if err != nil || p.net != other {
 		t.Fatalf("%+v %v", p, err)
 	}
 	defer claim.Close()
 	// What another run has claimed is taken, also before it has started anything.
-	for _, taken := range []int{200, 201} {
+	for _, taken := range []int{one, other} {
 		if p, _, err := findPlace(2, 1, func(int) int { return taken - firstNet }); !errors.Is(err, syscall.EADDRINUSE) {
 			t.Errorf("%+v %v", p, err)
 		}
