A stop and a full table end connections in one step with the look at their state

Excluded: the listener's end, as both connections stood before it, and the time for heads, 2.6 s.

Cause: net/http's closeIdleConns takes a connection for idle until the whole head is read (server.go, StateActive is set behind readRequest), and behind Shutdown it drops a request that was read without a word. closeFresh looked at a state under the lock and closed behind it, so a request could begin between the two. Likewise a head that was over its second could be given up for another connection in the moment in which it was whole: set(Busy) passed it by, its request ran at a backend, and the answer went nowhere (TestGivenUpCrossesHead: the loop was given it).

Now the owner of the connections ends them at a stop: those between requests at once and from then on, those without a byte once the listener has closed, each in one step with the look, beside which no byte is read. A request on a connection that was given up goes no further than its handler. TestIdleGoesForNew took three connections to rest in the order of their answers, which failed once beside a busy machine; it waits for each now.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,7 +34,7 @@
 	closedByPeer   = iota // or after an answer, or a time-out of the server's
 	closedIdle            // given up between requests, for another
 	closedNew             // given up before its first byte, for another
-	closedFresh           // at the stop, before its first byte
+	closedStop            // at the stop, between requests or before the first byte
 	closedTurnAway        // there was no place for it
 	closeCauseCount
 )
@@ -51,8 +52,11 @@
 	table  *connlimit.Table
 	conns  map[*connlimit.Conn]*clientConn
 	closed bool
+	ends   ending
 	tells  lineLimit
 
+	onState func(*clientConn, http.ConnState) // for tests, before a state is taken note of
+
 	accepted atomic.Int64
 	ended    [closeCauseCount]atomic.Int64
 	unset    atomic.Int64 // connections on which no limit on silence could be set
@@ -60,6 +64,15 @@
 	starved  atomic.Int64 // times that no descriptor was to be had
 }
 
+// ending is how far a stop has come.
+type ending int
+
+const (
+	serving    ending = iota
+	leavesIdle        // what is between requests is given up, now and from now on
+	leavesNew         // and so is what no byte has come on
+)
+
 func newClients(l net.Listener, most int) *clients {
 	c := &clients{Listener: l, began: time.Now(), table: connlimit.NewTable(connlimit.Limits{Total: most}),
 		conns: map[*connlimit.Conn]*clientConn{}, tells: lineLimit{most: 1}}
@@ -74,7 +87,7 @@
 	l.mu.Lock()
 	var gone []*clientConn
 	for _, c := range l.table.Limit(connlimit.Limits{Total: most}) {
-		gone = append(gone, l.giveUp(c))
+		gone = append(gone, l.giveUp(c, causeOf(c)))
 	}
 	l.room.Broadcast()
 	l.mu.Unlock()
@@ -83,18 +96,75 @@
 	}
 }
 
-// giveUp marks a connection that its table has given up. From here on no byte of
-// it reaches the server.
-func (l *clients) giveUp(c *connlimit.Conn) *clientConn {
+// giveUp marks a connection that is given up. From here on no byte of it reaches
+// the server, and a request that has been read goes no further.
+func (l *clients) giveUp(c *connlimit.Conn, cause int) *clientConn {
 	conn := l.conns[c]
 	delete(l.conns, c)
-	conn.givenUp = true
-	if conn.cause = closedIdle; c.State() == connlimit.New {
-		conn.cause = closedNew
-	}
+	l.table.Close(c)
+	conn.givenUp, conn.cause = true, cause
 	return conn
 }
 
+// causeOf is why a connection is given up for another.
+func causeOf(c *connlimit.Conn) int {
+	if c.State() == connlimit.New {
+		return closedNew
+	}
+	return closedIdle
+}
+
+// leave gives up what has no request, now and from now on. What is in a request,
+// or in the head of one, goes on to its answer.
+//
+// Danger: net/http closes what it takes for idle though the head of a request has
+// been read in part or whole. Its request would be sent on, and its answer lost.
+// Here the look at the state and the end are one step, beside which no byte is
+// read.
+func (l *clients) leave(how ending) {
+	l.mu.Lock()
+	l.ends = how
+	var gone []*clientConn
+	for place := range l.conns {
+		if l.goes(place) {
+			gone = append(gone, l.giveUp(place, closedStop))
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+// goes tells whether a connection goes at this point of a stop.
+func (l *clients) goes(place *connlimit.Conn) bool {
+	switch place.State() {
+	case connlimit.Idle:
+		return l.ends >= leavesIdle
+	case connlimit.New:
+		return l.ends >= leavesNew
+	}
+	return false
+}
+
+// drained waits until no connection is left.
+func (l *clients) drained(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.room.Broadcast()
+	})()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.conns) > 0 {
+		if ctx.Err() != nil {
+			return fmt.Errorf("%d connections of clients: %w", len(l.conns), ctx.Err())
+		}
+		l.room.Wait()
+	}
+	return nil
+}
+
 // Accept waits for room, then for a connection. While all places are taken by
 // requests, connections wait in the queue, where another process may take them.
 // One whose source has more than its share is told at once, as the queue behind it
@@ -191,13 +261,16 @@
 	for {
 		place, over, out := l.table.Open(l.now(), address)
 		if out != nil {
-			victim = l.giveUp(out)
+			victim = l.giveUp(out, causeOf(out))
 		}
-		if place != nil {
+		if place != nil && l.ends < leavesNew {
 			conn.place = place
 			l.conns[place] = conn
 			break
 		}
+		if place != nil {
+			l.table.Close(place)
+		}
 		if over || l.closed {
 			conn.cause = closedTurnAway
 			l.mu.Unlock()
@@ -236,29 +309,15 @@
 	return l.Listener.Close()
 }
 
-// closeFresh closes the connections that no byte has come on. The server counts
-// them as busy for seconds, and would hold up the gateway's end for them.
-func (l *clients) closeFresh() {
-	l.mu.Lock()
-	var fresh []*clientConn
-	for place, c := range l.conns {
-		if place.State() == connlimit.New {
-			c.cause = closedFresh
-			fresh = append(fresh, c)
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range fresh {
-		c.Close()
-	}
-}
-
 // connState follows what the server does with its connections.
 func (l *clients) connState(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*clientConn)
 	if !ok {
 		return
 	}
+	if l.onState != nil {
+		l.onState(conn, s)
+	}
 	switch s {
 	case http.StateActive:
 		conn.set(connlimit.Busy)
@@ -341,16 +400,36 @@
 		c.heads++
 		c.mu.Unlock()
 	}
+	if c.enter(s) {
+		c.Close()
+	}
+}
+
+// enter takes note of the state, and tells whether the connection goes for it.
+func (c *clientConn) enter(s connlimit.State) (goes bool) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.givenUp {
-		return
+		return false
 	}
 	c.resting.Store(s == connlimit.Idle)
 	c.owner.table.Set(c.owner.now(), c.place, s)
 	if s == connlimit.Idle {
 		c.owner.room.Broadcast()
 	}
+	if goes = c.owner.goes(c.place); goes {
+		c.owner.giveUp(c.place, closedStop)
+	}
+	return goes
+}
+
+// dropped tells whether the connection was given up. Danger: a head may have been
+// read whole in the moment in which it was given up for taking too long. Sent on,
+// its request would run for nobody.
+func (c *clientConn) dropped() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.givenUp
 }
 
 // between tells whether no byte of a next request has come.
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -125,12 +126,13 @@
 	to, br := backend.accept(t)
 	readRequest(t, br)
 	var idle []net.Conn
-	for range 3 {
+	for n := range 3 {
 		conn, answers := r.client(t, ask("GET", "lookup", "", idHeader, ""))
 		wait(t, answers, "answer")
 		idle = append(idle, conn)
+		// The next comes once this one rests, which may be later than its answer.
+		r.tells(t, fmt.Sprintf("app.clients.idle:%d|g", n+1), "app.clients.busy:1|g")
 	}
-	r.tells(t, "app.clients.idle:3|g", "app.clients.busy:1|g")
 	r.figures.clients.limit(4)
 	_, answers := r.client(t, ask("GET", "lookup", "", idHeader, ""))
 	wait(t, answers, "answer")
--- /dev/null
+++ b/internal/gateway/crossing_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlintray/internal/connlimit"
+)
+
+// Two events that cross, with the moment forced. The table of them is in
+// docs/design.md.
+
+// half splits a request in the middle of its head.
+func half(text string) (first, rest string) {
+	at := strings.Index(text, "Host:")
+	return text[:at], text[at:]
+}
+
+// A head that is half read when the stop comes is a request that was taken: on a
+// connection that has served before, net/http takes it for idle still.
+func TestStopCrossesHead(t *testing.T) {
+	t.Parallel()
+	for name, served := range map[string]bool{"on a new connection": false, "on one that has served": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			first, rest := half(ask("POST", "booking", "pickup"))
+			conn := r.send(t, "")
+			from := bufio.NewReader(conn)
+			if served {
+				io.WriteString(conn, ask("GET", "lookup", "", idHeader, ""))
+				if resp, err := http.ReadResponse(from, nil); err != nil {
+					t.Fatal(err)
+				} else {
+					io.Copy(io.Discard, resp.Body)
+				}
+				r.tells(t, "app.clients.idle:1|g")
+			}
+			io.WriteString(conn, first)
+			r.tells(t, "app.clients.head:1|g")
+			r.stop()
+			// Until the listener has closed, as the rest of a slow head may.
+			for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+				c, err := net.Dial("tcp", r.address)
+				if err != nil {
+					break
+				}
+				if c.Close(); time.Now().After(end) {
+					t.Fatal("the listener never closed")
+				}
+			}
+			io.WriteString(conn, rest)
+			serveOne(t, backend, "booked\n")
+			resp, err := http.ReadResponse(from, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(body) != "booked\n" || err != nil {
+				t.Errorf("%d %q %v", resp.StatusCode, body, err)
+			}
+			if err := wait(t, r.ended, "end"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A request on a resting connection in the moment of the stop is either answered or
+// not taken at all: then nothing of it goes on.
+func TestStopCrossesRestingConnection(t *testing.T) {
+	l := newClients(newPipes(), 8)
+	near, far := net.Pipe()
+	defer far.Close()
+	c := l.take(near)
+	go io.WriteString(far, ask("GET", "lookup", ""))
+	c.Read(make([]byte, 4096))
+	l.connState(c, http.StateActive)
+	l.connState(c, http.StateIdle)
+	fresh, other := net.Pipe()
+	defer other.Close()
+	f := l.take(fresh)
+	l.leave(leavesIdle)
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("a byte was read on a connection that rested at the stop")
+	}
+	go io.WriteString(other, ask("GET", "lookup", ""))
+	if n, err := f.Read(make([]byte, 4096)); n == 0 || err != nil {
+		t.Fatalf("a new connection at the stop: %d, %v", n, err)
+	}
+	l.leave(leavesNew)
+	if n := l.counts(); n.Open != 1 || n.In[connlimit.Head] != 1 {
+		t.Errorf("the one whose request has begun: %+v", n)
+	}
+	l.connState(f, http.StateActive)
+	l.connState(f, http.StateIdle) // its answer named no end, as it began before the stop
+	if n := l.counts(); n.Open != 0 || len(l.conns) != 0 || l.ended[closedStop].Load() != 2 {
+		t.Errorf("behind its answer: %+v, %d at the stop", n, l.ended[closedStop].Load())
+	}
+	l.Close()
+	late, end := net.Pipe()
+	defer end.Close()
+	go io.Copy(io.Discard, end)
+	if l.take(late) != nil {
+		t.Error("one that was accepted before the listener closed was kept")
+	}
+}
+
+// A head that took too long may be whole in the moment in which its connection is
+// given up for another. Its request must not run for nobody.
+func TestGivenUpCrossesHead(t *testing.T) {
+	f, p := newPipedFrontend(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	f.clients.onState = func(c *clientConn, s http.ConnState) {
+		if s == http.StateActive {
+			f.clients.mu.Lock()
+			defer f.clients.mu.Unlock()
+			f.clients.giveUp(c.place, closedNew)
+		}
+	}
+	p.conns <- server
+	io.WriteString(client, ask("GET", "lookup", ""))
+	client.SetReadDeadline(time.Now().Add(patience))
+	if n, err := client.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("%d, %v", n, err)
+	}
+	select {
+	case m := <-f.loop.inbox:
+		t.Errorf("the loop was given %T", m)
+	default:
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -116,12 +116,10 @@
 // server serves clients. The time for a body and for an answer depends on their
 // length, and is set where they are read and written.
 func (f *frontend) server() *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnState: f.clients.connState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, firstKey{}, &firstRequest{accepted: time.Now(), conn: c})
 		}}
-	s.RegisterOnShutdown(f.clients.closeFresh)
-	return s
 }
 
 // takesClients is what "ready" means to the platform and to operators.
@@ -166,7 +164,11 @@
 	}
 	control := http.NewResponseController(w)
 	defer requestOver(r)
-	if c := connOf(r); c != nil && c.doubt() {
+	c := connOf(r)
+	if c != nil && c.dropped() {
+		panic(http.ErrAbortHandler)
+	}
+	if c != nil && c.doubt() {
 		w.Header().Set("Connection", "close")
 		control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		http.Error(w, "the length of a request is told twice", http.StatusBadRequest)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,23 +213,22 @@
 // clients keep still.
 func shutdown(front *frontend, server *http.Server, pair *handover) error {
 	most := max(longest(front), leastHeld)
-	end := time.Now().Add(most + stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), most+stopMargin)
+	defer cancel()
 	front.loop.post(told{rules.Leave{Until: front.loop.clock.now() + (most + stopMargin - answerTime).Seconds()}})
 	front.leaving.Store(true)
 	if pair.leave() {
 		front.clients.Close()
 		time.Sleep(stayIdle)
 	} else {
-		server.SetKeepAlivesEnabled(false)
+		front.clients.leave(leavesIdle)
 		time.Sleep(stayFor)
+		front.clients.Close()
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close()
-		return fmt.Errorf("clients that were still open at the end: %w", err)
-	}
-	return nil
+	front.clients.leave(leavesNew)
+	err := front.clients.drained(ctx)
+	server.Close()
+	return err
 }
 
 // longest is how long a request may be held.
