A close behind an answer waits for the client's end, so no reset takes the answer

Excluded: the backend, which had written all, and the gateway's write, which had ended without an error.

Cause: net/http closes at once behind an answer that says Connection: close (server.go, serve: closeWriteAndWait only where a body was left unread), and a close over unread bytes resets the connection with what the system still holds.

Now the gateway ends its side, reads on for 500 ms or 256 KiB at most, and then closes. The place counts as idle meanwhile and goes for whoever wants it. Plain closes stay where the client has ended, takes nothing, or was given up.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -23,6 +25,11 @@
 	mostPause    = time.Second           // it doubles to this
 	crowdTellGap = time.Second           // between lines about a crowd, or about descriptors
 	refusalWait  = 20 * time.Millisecond // for the word to one that is turned away
+
+	// A client whose connection ends behind its answer has so long to end its side,
+	// and may send so many bytes more, which nobody reads.
+	lingerTime = 500 * time.Millisecond
+	lingerMost = 256 << 10
 )
 
 // A connection that is turned away is told so, as far as it listens: nothing of
@@ -125,8 +132,8 @@
 	l.mu.Lock()
 	l.ends = how
 	var gone []*clientConn
-	for place := range l.conns {
-		if l.goes(place) {
+	for place, c := range l.conns {
+		if l.goes(place) && !c.lingers {
 			gone = append(gone, l.giveUp(place, closedStop))
 		}
 	}
@@ -359,10 +366,13 @@
 
 	// Of the owner's mu:
 	givenUp bool
+	lingers bool // its end is on the way to the client
 	cause   int
 
-	resting atomic.Bool // New or Idle: the next byte begins a request
-	over    sync.Once
+	resting  atomic.Bool // New or Idle: the next byte begins a request
+	answered atomic.Bool // something was written since the last request began
+	ended    atomic.Bool // there is nobody, or nothing more, to wait for
+	over     sync.Once
 
 	mu    sync.Mutex
 	read  framing
@@ -377,12 +387,24 @@
 	if n > 0 && c.resting.Load() && !c.begin() {
 		return 0, io.EOF
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read.read(p[:n])
 	return n, err
 }
 
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.ended.Store(true) // the client takes nothing more
+	}
+	return n, err
+}
+
 func (c *clientConn) begin() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
@@ -390,6 +412,7 @@
 		return false
 	}
 	c.resting.Store(false)
+	c.answered.Store(false)
 	c.owner.table.Set(c.owner.now(), c.place, connlimit.Head)
 	return true
 }
@@ -415,6 +438,7 @@
 	c.resting.Store(s == connlimit.Idle)
 	c.owner.table.Set(c.owner.now(), c.place, s)
 	if s == connlimit.Idle {
+		c.answered.Store(false)
 		c.owner.room.Broadcast()
 	}
 	if goes = c.owner.goes(c.place); goes {
@@ -461,6 +485,7 @@
 
 // reset makes the connection's end one that the peer can tell from a proper one.
 func (c *clientConn) reset() {
+	c.ended.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
@@ -472,8 +497,43 @@
 	c.Close()
 }
 
-// Close ends the connection and frees its place, once.
+// Close ends the connection and frees its place, once. Behind an answer it ends
+// the gateway's side first and waits for the client's. Danger: a close over bytes
+// that nobody has read resets the connection, and the answer that is on its way
+// goes with it.
 func (c *clientConn) Close() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || !c.answered.Load() || c.ended.Load() || !c.beginLinger() {
+		return c.end()
+	}
+	go c.linger(tcp)
+	return nil
+}
+
+// beginLinger tells whether to wait for the client's end: not where its place is
+// wanted, and not twice.
+func (c *clientConn) beginLinger() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.lingers || c.place == nil || c.givenUp {
+		return false
+	}
+	c.lingers = true
+	c.owner.table.Set(c.owner.now(), c.place, connlimit.Idle) // it may go for another
+	c.owner.room.Broadcast()
+	return true
+}
+
+// linger waits for the client's end. Whoever wants the place closes the connection
+// under it.
+func (c *clientConn) linger(tcp *net.TCPConn) {
+	defer c.end()
+	if tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		io.Copy(io.Discard, io.LimitReader(tcp, lingerMost))
+	}
+}
+
+func (c *clientConn) end() error {
 	err := c.Conn.Close()
 	c.over.Do(func() {
 		l := c.owner
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -136,3 +137,32 @@
 	default:
 	}
 }
+
+// What a client sends behind its request must not reset the connection under the
+// answer to it, which may still be on its way.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	dialer := net.Dialer{}
+	conn, err := dialer.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	conn.(*net.TCPConn).SetReadBuffer(4 << 10) // most of the answer waits at the gateway
+	io.WriteString(conn, ask("POST", "booking", "pickup", "Connection", "close")+strings.Repeat("x", 32<<10))
+	want := bytes.Repeat([]byte("answer"), 10<<10)
+	serveOne(t, backend, string(want))
+	r.tells(t, "app.handled.booking.passed:1|c", "app.clients.busy:0|g")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d of %d bytes: %v", len(got), len(want), err)
+	}
+	conn.Close()
+	r.tells(t, "app.clients.idle:0|g")
+}
