--- a/internal/group/core_test.go
+++ b/internal/group/core_test.go
@@ -238,8 +238,9 @@
 		if s.random.IntN(100) < 2 {
 			s.wires = append(s.wires, proto.Clone(w).(*raftpb.Message)) // once more, later
 		}
+		n := int(w.GetTo()) - 1 // before Step, which addresses a proposal that it forwards anew
 		to.core.raw.Step(w)
-		s.turn(int(w.GetTo()) - 1)
+		s.turn(n)
 	default:
 		s.ask(s.clients[s.random.IntN(len(s.clients))])
 	}
