An attempt whose connection comes up late is looked at again before it is written

Seen (tests on real sockets, with the dial held up): a repeat of a keyed request is written after the backends have forgotten its key, so that it runs twice; and where the settings allow no cancel, a request is written for a client that has left during the dial. Excluded: the module's look at the window, which holds when it sends.

Now Send says until when it may be written, and writing ends by then; a part is no run. What has its answer, or no client, calls off the dials it has out.

Measured: TestRepeatCrossesItsWindow and TestClientLeavesDuringDial fail with each mend taken out alone ("written after its window", "written for a client that has gone") and pass with it.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -54,6 +54,7 @@
 	sent     float64
 	deadline float64
 	until    time.Time // the deadline for sockets
+	before   time.Time // its last byte must not be written later; zero: whenever
 	ended    bool
 	outcome  rules.Outcome // once ended
 	took     float64
@@ -88,6 +89,24 @@
 	}
 }
 
+// callOffDial calls an attempt off that has no connection yet.
+func (a *attempt) callOffDial() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil && a.cancel != nil {
+		a.called = true
+		a.cancel()
+	}
+}
+
+// writeBy is when writing has to end that may go on until end.
+func (a *attempt) writeBy(end time.Time) time.Time {
+	if !a.before.IsZero() && (end.IsZero() || a.before.Before(end)) {
+		return a.before
+	}
+	return end
+}
+
 // hold takes a connection for the attempt, unless it was called off.
 func (a *attempt) hold(c *backendConn) bool {
 	a.mu.Lock()
@@ -475,7 +494,8 @@
 	if a.x.upload != nil {
 		res, reuse = p.stream(a, c)
 	} else {
-		c.SetDeadline(a.until)
+		c.SetReadDeadline(a.until)
+		c.SetWriteDeadline(a.writeBy(a.until))
 		if err := a.write(c); err != nil {
 			a.release()
 			p.discard(c)
@@ -631,7 +651,7 @@
 			a.last.Store(true)
 		}
 		before := time.Now()
-		c.SetWriteDeadline(before.Add(to.wait()))
+		c.SetWriteDeadline(a.writeBy(before.Add(to.wait())))
 		if u.length >= 0 {
 			c.w.Write(piece)
 		} else {
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"dunlintray/internal/connlimit"
+	"dunlintray/rules"
 )
 
 // Two events that cross, with the moment forced. The table of them is in
@@ -166,3 +168,76 @@
 	conn.Close()
 	r.tells(t, "app.clients.idle:0|g")
 }
+
+// A repeat whose connection comes up late, when the backends have forgotten its key,
+// must not be written any more: it would run twice.
+func TestRepeatCrossesItsWindow(t *testing.T) {
+	for name, length := range map[string]int{"a short request": 6, "a long one": 1 << 20} {
+		backend := newPeer(t)
+		p := poolFor(t, backend.address())
+		a := newAttempt(patience)
+		a.x.body = make([]byte, length)
+		real, up := p.dial, make(chan struct{})
+		p.dial = func(ctx context.Context, to *target, within time.Duration) (*backendConn, error) {
+			c, err := real(ctx, to, within)
+			<-up
+			return c, err
+		}
+		done := start(p, a)
+		conn, r := backend.accept(t)
+		a.before = time.Now() // the window ends while the connection comes up
+		close(up)
+		if got := wait(t, done, "result"); got.outcome != rules.ConnectFailed {
+			t.Errorf("%s: outcome %d, which says that it may have run", name, got.outcome)
+		}
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("%s: written after its window: %d, %v", name, n, err)
+		}
+		conn.Close()
+	}
+}
+
+// A client that goes while a connection comes up has gone, also where the settings
+// allow no cancel: nothing is written once it is up.
+func TestClientLeavesDuringDial(t *testing.T) {
+	for _, cancel := range []string{"true", "false"} {
+		backend := newPeer(t)
+		settings := strings.Replace(testSettings, `"cancel": true`, `"cancel": `+cancel, 1)
+		c, err := parseConfig([]byte(configText("127.0.0.1:1", settings)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := newFigures(&c)
+		s := f.service(c.Deployment, 0)
+		p := newPools(patience, time.Minute, 8, f)
+		dials, up := make(chan struct{}, 1), make(chan struct{})
+		real := p.dial
+		p.dial = func(_ context.Context, to *target, within time.Duration) (*backendConn, error) {
+			dials <- struct{}{}
+			<-up
+			return real(context.Background(), to, within) // it comes up in the moment of the end
+		}
+		l := newLoop(&c, s, f, p, nil, func() {})
+		l.list(listing(true, "Ready", backend), rules.FullList)
+		x := &exchange{service: s, class: &s.Classes[0], counts: s.counts[0], plan: s.PlanNames[0], method: "GET", uri: "/lookup",
+			host: "origin.svc", header: http.Header{idHeader: {"id-1"}}, reply: make(chan answer, 2),
+			ask: rules.Request{Customer: 7, Units: 1, Gateways: 2, FirstPeer: 1, Sent: l.clock.now(), Deadline: l.clock.now() + 15}}
+		l.take(arrival{x})
+		wait(t, dials, "dial")
+		l.take(clientGone{x})
+		close(up)
+		l.attempts.Wait()
+		for len(l.inbox) > 0 {
+			l.take(<-l.inbox)
+		}
+		conn, r := backend.accept(t)
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("cancel %s: written for a client that has gone: %d, %v", cancel, n, err)
+		}
+		conn.Close()
+		if len(l.live) > 0 || x.out > 0 {
+			t.Errorf("cancel %s: %d requests are left", cancel, len(l.live))
+		}
+		p.remove(backendID(backend.address()))
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -264,10 +264,18 @@
 }
 
 // shut ends what an exchange is owed.
+//
+// Danger: where the settings allow no cancel, the module leaves its attempts out.
+// One whose connection is not up yet would begin for nobody.
 func (l *Loop) shut(x *exchange) {
 	if x.open = false; x.taken {
 		l.figures.inProgress.Add(-1)
 	}
+	for _, a := range x.attempts {
+		if !a.ended {
+			a.callOffDial()
+		}
+	}
 }
 
 // forsake ends a request whose client has left, or has sent none that is whole.
@@ -433,6 +441,9 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
+	if s.Before > 0 {
+		a.before = l.clock.at(s.Before)
+	}
 	if x.ask.Open {
 		a.deadline = math.Inf(1) // until its body is whole
 	} else {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -391,8 +391,11 @@
 // drains and bans, whoever asks.
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
-	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
-	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || stale ||
+	before := 0.0 // a repeat may wait for its connection until its key is forgotten
+	if j.mayRun && j.class.Effect == ByKey {
+		before = j.mayAt + j.class.DedupeWindow - 2*g.set.Tick
+	}
+	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || before > 0 && g.now > before ||
 		j.spent || tries >= min(j.mostTries, max(g.set.MaxAttempts, 1)) || j.out > 0 && !g.set.CanCopy {
 		return false
 	}
@@ -412,10 +415,10 @@
 		g.warmSent++
 	}
 	if j.Open {
-		g.do(Send{Request: j.ID, Backend: s.ID}) // its time counts from its last byte
+		g.do(Send{Request: j.ID, Backend: s.ID, Before: before}) // its time counts from its last byte
 		return true
 	}
-	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
+	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick), Before: before})
 	g.begin(j, tries)
 	return true
 }
@@ -553,10 +556,7 @@
 			g.inFlight--
 		}
 	}
-	if j.done || len(j.attempts) != n+1 || g.full(0) {
-		return
-	}
-	if g.set.CanCopy && j.customer.terms.places == 0 {
+	if !j.done && len(j.attempts) == n+1 && !g.full(0) && g.set.CanCopy && j.customer.terms.places == 0 {
 		g.again(j)
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -134,6 +134,9 @@
 	if first.Backend/2 != second.Backend/2 {
 		t.Errorf("repeat went from backend %d to %d, another cell", first.Backend, second.Backend)
 	}
+	if window := d.g.set.Classes[1].DedupeWindow; first.Before != 0 || second.Before >= 100+window || second.Before < 100+window-0.01 {
+		t.Errorf("to be written before %v and %v, its key is kept until %v", first.Before, second.Before, 100+window)
+	}
 	d.now += 0.9
 	out = d.handle(Timer{Token: timerEnd<<56 | uint64(id)})
 	if len(find[Refuse](out)) > 0 {
--- a/rules/types.go
+++ b/rules/types.go
@@ -348,6 +348,7 @@
 	Request RequestID
 	Backend BackendID
 	Timeout float64
+	Before  float64 // clock time from which on it must not be written any more; 0: any time
 }
 
 // Cancel stops waiting for an attempt.
