A connection to a backend rests 50 ms behind an answer before it is used again

Seen (TestLateSecondAnswer): a second answer that a backend writes late, on a link in reuse by then, is given to the next request's client. Excluded: an answer that comes while the link rests, which alive() finds.

Cause: backend.go, conn, took the link used last, however short it had rested; what comes between the look at the socket and the real answer can't be told from it.

Now a link that has rested for less than 50 ms is passed over, unless there is room for no other. Not taken: ids in answers, which the protocol has not. Cost: under load a backend holds about as many links more as requests come in 50 ms. Tests whose backends send nothing late set the rest to nothing (TestMain).

Measured: the test fails without it; internal/gateway passes.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -35,6 +35,10 @@
 	costHeader   = "X-Cost-Units"
 )
 
+// settleTime is how long a connection rests behind an answer: what a backend sends
+// then belongs to no request. Tests whose backends send nothing late shorten it.
+var settleTime = 50 * time.Millisecond
+
 // result is what became of an attempt.
 type result struct {
 	outcome rules.Outcome
@@ -221,6 +225,7 @@
 type pools struct {
 	connectTimeout time.Duration
 	idleLimit      time.Duration
+	settle         time.Duration
 	mostOpen       int // connections in all
 	figures        *figures
 	tells          lineLimit // of lines about descriptors
@@ -233,7 +238,7 @@
 
 func newPools(connectTimeout, keepAlive time.Duration, mostOpen int, f *figures) *pools {
 	return &pools{connectTimeout: connectTimeout, idleLimit: idleLimit(keepAlive),
-		mostOpen: mostOpen, figures: f, tells: lineLimit{most: 1}, dial: dial, targets: map[rules.BackendID]*target{}}
+		settle: settleTime, mostOpen: mostOpen, figures: f, tells: lineLimit{most: 1}, dial: dial, targets: map[rules.BackendID]*target{}}
 }
 
 // keep sets how many connections there may be.
@@ -383,11 +388,16 @@
 		p.mu.Unlock()
 		return nil, errNoConn
 	}
-	for n := len(t.idle); n > 0; n = len(t.idle) {
-		c := t.idle[n-1]
-		t.idle = t.idle[:n-1]
-		if time.Since(c.idle) < p.idleLimit && alive(c.Conn) {
-			c.rest = time.Since(c.idle)
+	// Danger: a backend may send more behind an answer, some milliseconds late. On a
+	// connection in use by then it would pass for the next answer; on one that rests
+	// it is found. Only where there is room for no other is one used at once.
+	for n := len(t.idle) - 1; n >= 0; n-- {
+		c := t.idle[n]
+		if c.rest = time.Since(c.idle); c.rest < p.settle && p.open < p.mostOpen {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, n, n+1)
+		if c.rest < p.idleLimit && alive(c.Conn) {
 			c.idle = time.Time{}
 			p.mu.Unlock()
 			return c, nil
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,6 +17,12 @@
 	"dunlintray/rules"
 )
 
+// A second request of a test goes out on the connection of the first at once.
+func TestMain(m *testing.M) {
+	settleTime = 0
+	os.Exit(m.Run())
+}
+
 // patience bounds every wait of a test; none is expected to last so long.
 const patience = 20 * time.Second
 
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -241,3 +241,36 @@
 		p.remove(backendID(backend.address()))
 	}
 }
+
+// What a backend sends behind its answer, some milliseconds late, is no answer to the
+// next request on that connection.
+func TestLateSecondAnswer(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	p.settle = patience // until the test says otherwise
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+	wait(t, done, "result")
+	done = start(p, newAttempt(patience)) // in the moment in which the other has ended
+	next, nr := backend.accept(t)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+	readRequest(t, nr)
+	io.WriteString(next, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+	if got := wait(t, done, "result"); got.outcome != rules.Served || string(got.answer.body) != "next" {
+		t.Errorf("outcome %d, %q", got.outcome, got.answer.body)
+	}
+	// Once it has come, the connection is not used any more.
+	idle := p.targets[1].idle[0]
+	for end := time.Now().Add(patience); alive(idle.Conn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // on its way through the kernel
+	}
+	p.settle = 0
+	done = start(p, newAttempt(patience))
+	readRequest(t, nr)
+	io.WriteString(next, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast")
+	if got := wait(t, done, "result"); got.outcome != rules.Served || string(got.answer.body) != "last" {
+		t.Errorf("outcome %d, %q", got.outcome, got.answer.body)
+	}
+}
