The counter's answer is waited for four of its time-outs, as it comes however late

Cause: loop.go, call, gave a call up at the stated time-out. By the protocol its answer comes once it has had its turn, however late, and what it added stands: of a customer of many gateways these units are missing to all for the window, and the module, told of a crowd, leaves four times as many calls out and pays from shares.

Now the answer is waited for four times as long; a line of the counter that is longer turns calls away, which add nothing.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -18,6 +18,12 @@
 	inboxSize    = 1024
 	answerMargin = 0.005 // seconds kept of a deadline for the way to the client, the loop and the write
 	sameMoment   = 0.001 // a cancel so close before an attempt's time-out is one
+
+	// So many of the stated time-outs the counter's answer is waited for.
+	//
+	// Danger: it comes, however late, once the call has had its turn. What a call
+	// that was given up has added is missing to all gateways for the window.
+	counterPatience = 4
 )
 
 // What sockets tell the loop.
@@ -571,7 +577,7 @@
 		l.endCall(k, rules.Full, 0)
 		return
 	}
-	l.timers.add(timerEntry{at: k.sent + l.service.CounterTimeout, call: k})
+	l.timers.add(timerEntry{at: k.sent + counterPatience*l.service.CounterTimeout, call: k})
 }
 
 func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"dunlintray/internal/wire"
 	"dunlintray/rules"
@@ -43,3 +47,44 @@
 		t.Error("a request of a plan that is no more was carried over")
 	}
 }
+
+// A crowded counter answers late. The answer is waited for beyond the stated time-out,
+// as what the call has added is lost to all gateways without it, but not for ever.
+func TestCounterIsWaitedFor(t *testing.T) {
+	settings := strings.Replace(testSettings, `"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 0.05`, 1)
+	c, err := parseConfig([]byte(configText("127.0.0.1:1", strings.Replace(settings, `"pays": 1`, `"pays": 1, "unitsPerS": 2, "depth": 4`, 1))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f, calls := newFigures(&c), newCounter(c.Counter, time.Second)
+		s := f.service(c.Deployment, 0)
+		l := newLoop(&c, s, f, newPools(time.Second, time.Minute, 8, f), calls, func() {})
+		ctx, cancel := context.WithCancel(context.Background())
+		go l.run(ctx)
+		defer func() { cancel(); <-l.stopped }()
+		x := &exchange{service: s, class: &s.Classes[0], counts: s.counts[0], plan: "basic", reply: make(chan answer, 2),
+			ask: rules.Request{Customer: 7, Units: 2, Gateways: 2, FirstPeer: 1, Sent: l.clock.now(), Deadline: l.clock.now() + 15}}
+		l.post(arrival{x})
+		synctest.Wait()
+		var k *call
+		for _, lane := range calls.lanes {
+			if len(lane) > 0 {
+				k = <-lane
+			}
+		}
+		if k == nil {
+			t.Fatal("no call was made")
+		}
+		time.Sleep(190 * time.Millisecond)
+		synctest.Wait()
+		if k.givenUp.Load() {
+			t.Error("given up though its answer may come")
+		}
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		if !k.givenUp.Load() {
+			t.Error("waited for without end")
+		}
+	})
+}
