TestDrain holds its request for longer than the call that has to find it

The request's class has an aim of 500 ms, behind which the gateway gives it up, and the call looks at 400 and 500 ms: whichever came first.

--- a/cmd/dunlintray/permits_test.go
+++ b/cmd/dunlintray/permits_test.go
@@ -89,6 +89,9 @@
 	daemon(t, "registry", registry)
 	s := scenario.Default()
 	s.Fleet.Gateways = n
+	for k := range s.Classes { // a request that is held outlives every call
+		s.Classes[k].Aim, s.Classes[k].Deadline = scenario.Duration(patience), scenario.Duration(patience)
+	}
 	for k := range n {
 		d.listen, d.control = append(d.listen, testnet.TCP(t)), append(d.control, testnet.TCP(t))
 		config, err := s.GatewayConfig(k, scenario.Addresses{Listen: d.listen[k], Control: d.control[k], Counter: testnet.TCP(t), Registries: []string{d.list}}, nil)
@@ -220,7 +223,9 @@
 		b.hold.Store(nil)
 	}
 	release()
-	<-answer // which may have come at its deadline
+	if status := <-answer; status != 200 {
+		t.Errorf("the request that was out at a backend that drains: %d", status)
+	}
 	call(1, "those with these ranks were not named: [1]", "drain AT LISTS --as ann --gateways "+control[0]+" "+busy)
 	call(0, "drained: 2 gateways", "drain AT LISTS GW --as ann "+busy)
 	before := backends[busy].served.Load()
