--- /dev/null
+++ b/internal/gateway/ahead.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// aheadMost is how many bytes of later requests are held while one is under way.
+const aheadMost = 16 << 10
+
+// aheadReader reads on behind a request that is under way, if its client has sent
+// more. Danger: net/http stops listening at the first byte of a next request, and
+// would not notice then that the client has left: an attempt would begin for nobody.
+//
+// net/http's side reads one call at a time. Between a begin and the next Read a
+// goroutine of its own has the socket.
+type aheadReader struct {
+	net.Conn
+	left chan struct{} // closed once the client has ended, or its connection has
+
+	mu       sync.Mutex
+	deadline time.Time     // that net/http has set
+	running  chan struct{} // closed when the goroutine has ended; nil: there is none
+
+	held []byte // not yet read by net/http
+	err  error  // behind what is held
+}
+
+func newAheadReader(c net.Conn) *aheadReader {
+	return &aheadReader{Conn: c, left: make(chan struct{})}
+}
+
+func (a *aheadReader) Read(p []byte) (int, error) {
+	a.end()
+	if len(a.held) > 0 {
+		n := copy(p, a.held)
+		if a.held = a.held[n:]; len(a.held) == 0 {
+			a.held = nil
+		}
+		return n, nil
+	}
+	if a.err != nil {
+		return 0, a.err
+	}
+	n, err := a.Conn.Read(p)
+	a.ended(err)
+	return n, err
+}
+
+// ended takes note of the connection's end.
+func (a *aheadReader) ended(err error) {
+	if err != nil && a.err == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.err = err
+		close(a.left)
+	}
+}
+
+// begin reads on until the next Read, the client's end, or until enough is held.
+func (a *aheadReader) begin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running != nil || a.err != nil {
+		return
+	}
+	a.running = make(chan struct{})
+	a.Conn.SetReadDeadline(time.Time{})
+	go a.run(a.running)
+}
+
+func (a *aheadReader) run(done chan struct{}) {
+	defer close(done)
+	var piece [1 << 10]byte
+	for len(a.held) < aheadMost {
+		n, err := a.Conn.Read(piece[:min(len(piece), aheadMost-len(a.held))])
+		a.held = append(a.held, piece[:n]...)
+		if err != nil {
+			a.ended(err)
+			return
+		}
+	}
+}
+
+// end has the goroutine end and puts the deadline in force that was set meanwhile.
+func (a *aheadReader) end() {
+	a.mu.Lock()
+	running := a.running
+	if running == nil {
+		a.mu.Unlock()
+		return
+	}
+	a.Conn.SetReadDeadline(time.Now().Add(-time.Second))
+	a.mu.Unlock()
+	<-running
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running = nil
+	a.Conn.SetReadDeadline(a.deadline)
+}
+
+// SetReadDeadline is for net/http's own reads.
+func (a *aheadReader) SetReadDeadline(t time.Time) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deadline = t
+	if a.running != nil {
+		return nil
+	}
+	return a.Conn.SetReadDeadline(t)
+}
+
+// full tells whether the client has sent more ahead than is held. It may be asked by
+// the handler of the request that is under way.
+func (a *aheadReader) full() bool {
+	a.mu.Lock()
+	running := a.running
+	a.mu.Unlock()
+	if running == nil {
+		return false
+	}
+	select {
+	case <-running:
+		return len(a.held) >= aheadMost
+	default:
+		return false
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -261,7 +261,7 @@
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	conn := &clientConn{Conn: c, owner: l}
+	conn := &clientConn{Conn: c, owner: l, ahead: newAheadReader(c)}
 	conn.resting.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
@@ -363,6 +363,7 @@
 	net.Conn
 	owner *clients
 	place *connlimit.Conn
+	ahead *aheadReader // of Conn
 
 	// Of the owner's mu:
 	givenUp bool
@@ -383,10 +384,13 @@
 // request has begun. One that begins on a connection that was given up is not
 // read: its client sends it again.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.ahead.Read(p)
 	if n > 0 && c.resting.Load() && !c.begin() {
 		return 0, io.EOF
 	}
+	if n == 1 && len(p) == 1 {
+		c.ahead.begin() // net/http listens for the client's end byte by byte, and has found another
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
 	}
@@ -405,6 +409,9 @@
 	return n, err
 }
 
+// SetReadDeadline is for reads of the server's.
+func (c *clientConn) SetReadDeadline(t time.Time) error { return c.ahead.SetReadDeadline(t) }
+
 func (c *clientConn) begin() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
@@ -456,6 +463,17 @@
 	return c.givenUp
 }
 
+// gone tells whether the client has ended the connection, behind a request that has
+// been read before.
+func (c *clientConn) gone() bool {
+	select {
+	case <-c.ahead.left:
+		return true
+	default:
+		return false
+	}
+}
+
 // between tells whether no byte of a next request has come.
 func (c *clientConn) between() bool {
 	c.mu.Lock()
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -274,3 +274,109 @@
 		t.Errorf("outcome %d, %q", got.outcome, got.answer.body)
 	}
 }
+
+// A connection that comes up in the moment in which its backend is told to drain, or
+// has begun another life, gets nothing.
+func TestDrainCrossesDial(t *testing.T) {
+	for name, change := range map[string]func(p *pools, address string){
+		"drains":         func(p *pools, _ string) { p.remove(1) },
+		"is taken out":   func(p *pools, _ string) { p.renew(1) },
+		"begins anew":    func(p *pools, address string) { p.update(1, address, 5) },
+		"is moved":       func(p *pools, _ string) { p.update(1, "127.0.0.1:1", 0) },
+		"goes at an end": func(p *pools, _ string) { ctx, end := context.WithCancel(context.Background()); end(); p.sweep(ctx) },
+	} {
+		backend := newPeer(t)
+		p := poolFor(t, backend.address())
+		real, up := p.dial, make(chan struct{})
+		p.dial = func(ctx context.Context, to *target, within time.Duration) (*backendConn, error) {
+			c, err := real(ctx, to, within)
+			<-up
+			return c, err
+		}
+		done := start(p, newAttempt(patience))
+		conn, r := backend.accept(t)
+		change(p, backend.address())
+		close(up)
+		if got := wait(t, done, "result"); got.outcome != rules.ConnectFailed {
+			t.Errorf("%s: outcome %d", name, got.outcome)
+		}
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("%s: written: %d, %v", name, n, err)
+		}
+		conn.Close()
+	}
+}
+
+// A client that goes behind a next request has gone, and so has that request: the
+// attempt that is out ends, and none begins.
+func TestClientLeavesBehindNextRequest(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{"a part": "G", "a whole one": ask("GET", "lookup", ""),
+		"a crowd": strings.Repeat(ask("GET", "lookup", ""), 30), "a flood": strings.Repeat(ask("GET", "lookup", ""), 40000)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			conn, _ := r.client(t, ask("POST", "booking", "x"))
+			to, br := backend.accept(t)
+			readRequest(t, br)
+			r.tells(t, "app.clients.busy:1|g")
+			io.WriteString(conn, text[:1]) // which net/http takes for the sign of a next request
+			r.tells(t, "app.in_progress:1|g")
+			conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // no more is taken of a flood
+			io.WriteString(conn, text[1:])
+			if name == "a flood" {
+				io.WriteString(to, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				conn.Close()
+			} else {
+				conn.Close()
+				if _, err := br.ReadByte(); err != io.EOF {
+					t.Errorf("the attempt's connection: %v", err)
+				}
+			}
+			r.tells(t, "app.clients.busy:0|g", "app.in_progress:0|g", "app.upstream_tries:1|c")
+		})
+	}
+}
+
+// An answer without a length ends with its connection, and a reset is no end: held, it
+// is made again where its class permits; let go, its client can tell.
+func TestAnswerWithoutLengthIsReset(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{"held": "abc", "let go": strings.Repeat("x", 2*mostHeld)} {
+		for _, class := range []string{"lookup", "payment"} {
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			method := map[string]string{"lookup": "GET", "payment": "POST"}[class]
+			_, answer := r.get(t, ask(method, class, "", keyHeader, ""))
+			to, br := backend.accept(t)
+			readRequest(t, br)
+			io.WriteString(to, "HTTP/1.1 200 OK\r\n\r\n"+text)
+			var resp *http.Response
+			if name == "let go" {
+				resp = answer()
+				if _, err := io.ReadFull(resp.Body, make([]byte, mostHeld)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			to.(*net.TCPConn).SetLinger(0)
+			to.Close()
+			switch {
+			case name == "let go":
+				if rest, err := io.ReadAll(resp.Body); err == nil {
+					t.Errorf("%s: %d more bytes passed for the whole", class, len(rest))
+				}
+			case class == "lookup":
+				serveOne(t, backend, "whole")
+				if body, err := io.ReadAll(answer().Body); string(body) != "whole" || err != nil {
+					t.Errorf("made again: %q, %v", body, err)
+				}
+			default:
+				if resp := answer(); resp.StatusCode != 502 {
+					t.Errorf("one that may run once: status %d", resp.StatusCode)
+				}
+				r.tells(t, "app.upstream_tries:1|c")
+			}
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -165,7 +165,7 @@
 	control := http.NewResponseController(w)
 	defer requestOver(r)
 	c := connOf(r)
-	if c != nil && c.dropped() {
+	if c != nil && (c.dropped() || c.gone()) {
 		panic(http.ErrAbortHandler)
 	}
 	if c != nil && c.doubt() {
@@ -205,6 +205,11 @@
 
 // await gives the client what the loop says, or tells the loop that it has left.
 func (f *frontend) await(w http.ResponseWriter, r *http.Request, x *exchange, control *http.ResponseController) {
+	var left <-chan struct{}
+	c := connOf(r)
+	if c != nil {
+		left = c.ahead.left
+	}
 	for {
 		select {
 		case a := <-x.reply:
@@ -215,7 +220,7 @@
 				}
 				continue
 			}
-			if f.leaving.Load() || !x.upload.over() {
+			if f.leaving.Load() || !x.upload.over() || c != nil && c.ahead.full() {
 				w.Header().Set("Connection", "close")
 			}
 			control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -226,6 +231,11 @@
 			if err != nil {
 				cutOff(r)
 			}
+		case <-left:
+			if !f.loop.post(clientGone{x}) {
+				x.abandon(&f.figures.bodies)
+			}
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			if !f.loop.post(clientGone{x}) {
 				x.abandon(&f.figures.bodies)
