--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"dunlintray/internal/connlimit"
+	"dunlintray/rules"
 )
 
 // Two events that cross, with the moment forced. The table of them is in
@@ -166,3 +168,215 @@
 	conn.Close()
 	r.tells(t, "app.clients.idle:0|g")
 }
+
+// A repeat whose connection comes up late, when the backends have forgotten its key,
+// must not be written any more: it would run twice.
+func TestRepeatCrossesItsWindow(t *testing.T) {
+	for name, length := range map[string]int{"a short request": 6, "a long one": 1 << 20} {
+		backend := newPeer(t)
+		p := poolFor(t, backend.address())
+		a := newAttempt(patience)
+		a.x.body = make([]byte, length)
+		real, up := p.dial, make(chan struct{})
+		p.dial = func(ctx context.Context, to *target, within time.Duration) (*backendConn, error) {
+			c, err := real(ctx, to, within)
+			<-up
+			return c, err
+		}
+		done := start(p, a)
+		conn, r := backend.accept(t)
+		a.before = time.Now() // the window ends while the connection comes up
+		close(up)
+		if got := wait(t, done, "result"); got.outcome != rules.ConnectFailed {
+			t.Errorf("%s: outcome %d, which says that it may have run", name, got.outcome)
+		}
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("%s: written after its window: %d, %v", name, n, err)
+		}
+		conn.Close()
+	}
+}
+
+// A client that goes while a connection comes up has gone, also where the settings
+// allow no cancel: nothing is written once it is up.
+func TestClientLeavesDuringDial(t *testing.T) {
+	for _, cancel := range []string{"true", "false"} {
+		backend := newPeer(t)
+		settings := strings.Replace(testSettings, `"cancel": true`, `"cancel": `+cancel, 1)
+		c, err := parseConfig([]byte(configText("127.0.0.1:1", settings)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := newFigures(&c)
+		s := f.service(c.Deployment, 0)
+		p := newPools(patience, time.Minute, 8, f)
+		dials, up := make(chan struct{}, 1), make(chan struct{})
+		real := p.dial
+		p.dial = func(_ context.Context, to *target, within time.Duration) (*backendConn, error) {
+			dials <- struct{}{}
+			<-up
+			return real(context.Background(), to, within) // it comes up in the moment of the end
+		}
+		l := newLoop(&c, s, f, p, nil, func() {})
+		l.list(listing(true, "Ready", backend), rules.FullList)
+		x := &exchange{service: s, class: &s.Classes[0], counts: s.counts[0], plan: s.PlanNames[0], method: "GET", uri: "/lookup",
+			host: "origin.svc", header: http.Header{idHeader: {"id-1"}}, reply: make(chan answer, 2),
+			ask: rules.Request{Customer: 7, Units: 1, Gateways: 2, FirstPeer: 1, Sent: l.clock.now(), Deadline: l.clock.now() + 15}}
+		l.take(arrival{x})
+		wait(t, dials, "dial")
+		l.take(clientGone{x})
+		close(up)
+		l.attempts.Wait()
+		for len(l.inbox) > 0 {
+			l.take(<-l.inbox)
+		}
+		conn, r := backend.accept(t)
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("cancel %s: written for a client that has gone: %d, %v", cancel, n, err)
+		}
+		conn.Close()
+		if len(l.live) > 0 || x.out > 0 {
+			t.Errorf("cancel %s: %d requests are left", cancel, len(l.live))
+		}
+		p.remove(backendID(backend.address()))
+	}
+}
+
+// What a backend sends behind its answer, some milliseconds late, is no answer to the
+// next request on that connection.
+func TestLateSecondAnswer(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	p.settle = patience // until the test says otherwise
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+	wait(t, done, "result")
+	done = start(p, newAttempt(patience)) // in the moment in which the other has ended
+	next, nr := backend.accept(t)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+	readRequest(t, nr)
+	io.WriteString(next, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+	if got := wait(t, done, "result"); got.outcome != rules.Served || string(got.answer.body) != "next" {
+		t.Errorf("outcome %d, %q", got.outcome, got.answer.body)
+	}
+	// Once it has come, the connection is not used any more.
+	idle := p.targets[1].idle[0]
+	for end := time.Now().Add(patience); alive(idle.Conn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // on its way through the kernel
+	}
+	p.settle = 0
+	done = start(p, newAttempt(patience))
+	readRequest(t, nr)
+	io.WriteString(next, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast")
+	if got := wait(t, done, "result"); got.outcome != rules.Served || string(got.answer.body) != "last" {
+		t.Errorf("outcome %d, %q", got.outcome, got.answer.body)
+	}
+}
+
+// A connection that comes up in the moment in which its backend is told to drain, or
+// has begun another life, gets nothing.
+func TestDrainCrossesDial(t *testing.T) {
+	for name, change := range map[string]func(p *pools, address string){
+		"drains":         func(p *pools, _ string) { p.remove(1) },
+		"is taken out":   func(p *pools, _ string) { p.renew(1) },
+		"begins anew":    func(p *pools, address string) { p.update(1, address, 5) },
+		"is moved":       func(p *pools, _ string) { p.update(1, "127.0.0.1:1", 0) },
+		"goes at an end": func(p *pools, _ string) { ctx, end := context.WithCancel(context.Background()); end(); p.sweep(ctx) },
+	} {
+		backend := newPeer(t)
+		p := poolFor(t, backend.address())
+		real, up := p.dial, make(chan struct{})
+		p.dial = func(ctx context.Context, to *target, within time.Duration) (*backendConn, error) {
+			c, err := real(ctx, to, within)
+			<-up
+			return c, err
+		}
+		done := start(p, newAttempt(patience))
+		conn, r := backend.accept(t)
+		change(p, backend.address())
+		close(up)
+		if got := wait(t, done, "result"); got.outcome != rules.ConnectFailed {
+			t.Errorf("%s: outcome %d", name, got.outcome)
+		}
+		if n, err := r.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("%s: written: %d, %v", name, n, err)
+		}
+		conn.Close()
+	}
+}
+
+// A client that goes behind a next request has gone, and so has that request: the
+// attempt that is out ends, and none begins.
+func TestClientLeavesBehindNextRequest(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{"a part": "G", "a whole one": ask("GET", "lookup", ""),
+		"a crowd": strings.Repeat(ask("GET", "lookup", ""), 30), "a flood": strings.Repeat(ask("GET", "lookup", ""), 40000)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			conn, _ := r.client(t, ask("POST", "booking", "x"))
+			to, br := backend.accept(t)
+			readRequest(t, br)
+			r.tells(t, "app.clients.busy:1|g")
+			io.WriteString(conn, text[:1]) // which net/http takes for the sign of a next request
+			r.tells(t, "app.in_progress:1|g")
+			conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // no more is taken of a flood
+			io.WriteString(conn, text[1:])
+			if name == "a flood" {
+				io.WriteString(to, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				conn.Close()
+			} else {
+				conn.Close()
+				if _, err := br.ReadByte(); err != io.EOF {
+					t.Errorf("the attempt's connection: %v", err)
+				}
+			}
+			r.tells(t, "app.clients.busy:0|g", "app.in_progress:0|g", "app.upstream_tries:1|c")
+		})
+	}
+}
+
+// An answer without a length ends with its connection, and a reset is no end: held, it
+// is made again where its class permits; let go, its client can tell.
+func TestAnswerWithoutLengthIsReset(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{"held": "abc", "let go": strings.Repeat("x", 2*mostHeld)} {
+		for _, class := range []string{"lookup", "payment"} {
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			method := map[string]string{"lookup": "GET", "payment": "POST"}[class]
+			_, answer := r.get(t, ask(method, class, "", keyHeader, ""))
+			to, br := backend.accept(t)
+			readRequest(t, br)
+			io.WriteString(to, "HTTP/1.1 200 OK\r\n\r\n"+text)
+			var resp *http.Response
+			if name == "let go" {
+				resp = answer()
+				if _, err := io.ReadFull(resp.Body, make([]byte, mostHeld)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			to.(*net.TCPConn).SetLinger(0)
+			to.Close()
+			switch {
+			case name == "let go":
+				if rest, err := io.ReadAll(resp.Body); err == nil {
+					t.Errorf("%s: %d more bytes passed for the whole", class, len(rest))
+				}
+			case class == "lookup":
+				serveOne(t, backend, "whole")
+				if body, err := io.ReadAll(answer().Body); string(body) != "whole" || err != nil {
+					t.Errorf("made again: %q, %v", body, err)
+				}
+			default:
+				if resp := answer(); resp.StatusCode != 502 {
+					t.Errorf("one that may run once: status %d", resp.StatusCode)
+				}
+				r.tells(t, "app.upstream_tries:1|c")
+			}
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -79,8 +79,8 @@
 	newApart   = 0.2 // and up to so much more the farther ahead the backend is
 	connMargin = 1.0 // seconds before the backend closes it in which an idle connection is not counted on
 
-	askRest  = 2.0 // seconds until discovery is asked again after it failed; doubles
-	askMost  = 32.0
+	askRest  = 1.0  // seconds until discovery is asked again after it failed, half to twice that
+	askMost  = 1.8  // where it fails again: longer would hold back what is told once it can be reached
 	houseGap = 0.05 // seconds between rounds of housekeeping
 	tellGap  = 1.0  // seconds between lines about requests that were given back
 	idleDrop = 60.0 // seconds after which a customer is forgotten
@@ -391,8 +391,11 @@
 // drains and bans, whoever asks.
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
-	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
-	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || stale ||
+	before := 0.0 // a repeat may wait for its connection until its key is forgotten
+	if j.mayRun && j.class.Effect == ByKey {
+		before = j.mayAt + j.class.DedupeWindow - 2*g.set.Tick
+	}
+	if j.done || j.streams || !j.paid || !s.usable() || !j.inGroup(s) || before > 0 && g.now > before ||
 		j.spent || tries >= min(j.mostTries, max(g.set.MaxAttempts, 1)) || j.out > 0 && !g.set.CanCopy {
 		return false
 	}
@@ -412,10 +415,10 @@
 		g.warmSent++
 	}
 	if j.Open {
-		g.do(Send{Request: j.ID, Backend: s.ID}) // its time counts from its last byte
+		g.do(Send{Request: j.ID, Backend: s.ID, Before: before}) // its time counts from its last byte
 		return true
 	}
-	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
+	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick), Before: before})
 	g.begin(j, tries)
 	return true
 }
@@ -553,10 +556,7 @@
 			g.inFlight--
 		}
 	}
-	if j.done || len(j.attempts) != n+1 || g.full(0) {
-		return
-	}
-	if g.set.CanCopy && j.customer.terms.places == 0 {
+	if !j.done && len(j.attempts) == n+1 && !g.full(0) && g.set.CanCopy && j.customer.terms.places == 0 {
 		g.again(j)
 	}
 }
@@ -709,7 +709,7 @@
 	if e.Kind == ListFailed {
 		// Danger: all gateways fail together, and asking at once or in step they would keep discovery down.
 		g.askRest = min(max(2*g.askRest, askRest), askMost)
-		g.timer(g.askRest*(0.5+g.rng.Float64()), timerAsk, 0, 0)
+		g.timer(g.askRest*(0.5+1.5*g.rng.Float64()), timerAsk, 0, 0)
 		return
 	}
 	if g.askRest = 0; e.Kind != Delta {
