--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -22,6 +25,11 @@
 	mostPause    = time.Second           // it doubles to this
 	crowdTellGap = time.Second           // between lines about a crowd, or about descriptors
 	refusalWait  = 20 * time.Millisecond // for the word to one that is turned away
+
+	// A client whose connection ends behind its answer has so long to end its side,
+	// and may send so many bytes more, which nobody reads.
+	lingerTime = 500 * time.Millisecond
+	lingerMost = 256 << 10
 )
 
 // A connection that is turned away is told so, as far as it listens: nothing of
@@ -33,7 +41,7 @@
 	closedByPeer   = iota // or after an answer, or a time-out of the server's
 	closedIdle            // given up between requests, for another
 	closedNew             // given up before its first byte, for another
-	closedFresh           // at the stop, before its first byte
+	closedStop            // at the stop, between requests or before the first byte
 	closedTurnAway        // there was no place for it
 	closeCauseCount
 )
@@ -51,8 +59,11 @@
 	table  *connlimit.Table
 	conns  map[*connlimit.Conn]*clientConn
 	closed bool
+	ends   ending
 	tells  lineLimit
 
+	onState func(*clientConn, http.ConnState) // for tests, before a state is taken note of
+
 	accepted atomic.Int64
 	ended    [closeCauseCount]atomic.Int64
 	unset    atomic.Int64 // connections on which no limit on silence could be set
@@ -60,6 +71,15 @@
 	starved  atomic.Int64 // times that no descriptor was to be had
 }
 
+// ending is how far a stop has come.
+type ending int
+
+const (
+	serving    ending = iota
+	leavesIdle        // what is between requests is given up, now and from now on
+	leavesNew         // and so is what no byte has come on
+)
+
 func newClients(l net.Listener, most int) *clients {
 	c := &clients{Listener: l, began: time.Now(), table: connlimit.NewTable(connlimit.Limits{Total: most}),
 		conns: map[*connlimit.Conn]*clientConn{}, tells: lineLimit{most: 1}}
@@ -74,7 +94,7 @@
 	l.mu.Lock()
 	var gone []*clientConn
 	for _, c := range l.table.Limit(connlimit.Limits{Total: most}) {
-		gone = append(gone, l.giveUp(c))
+		gone = append(gone, l.giveUp(c, causeOf(c)))
 	}
 	l.room.Broadcast()
 	l.mu.Unlock()
@@ -83,18 +103,75 @@
 	}
 }
 
-// giveUp marks a connection that its table has given up. From here on no byte of
-// it reaches the server.
-func (l *clients) giveUp(c *connlimit.Conn) *clientConn {
+// giveUp marks a connection that is given up. From here on no byte of it reaches
+// the server, and a request that has been read goes no further.
+func (l *clients) giveUp(c *connlimit.Conn, cause int) *clientConn {
 	conn := l.conns[c]
 	delete(l.conns, c)
-	conn.givenUp = true
-	if conn.cause = closedIdle; c.State() == connlimit.New {
-		conn.cause = closedNew
-	}
+	l.table.Close(c)
+	conn.givenUp, conn.cause = true, cause
 	return conn
 }
 
+// causeOf is why a connection is given up for another.
+func causeOf(c *connlimit.Conn) int {
+	if c.State() == connlimit.New {
+		return closedNew
+	}
+	return closedIdle
+}
+
+// leave gives up what has no request, now and from now on. What is in a request,
+// or in the head of one, goes on to its answer.
+//
+// Danger: net/http closes what it takes for idle though the head of a request has
+// been read in part or whole. Its request would be sent on, and its answer lost.
+// Here the look at the state and the end are one step, beside which no byte is
+// read.
+func (l *clients) leave(how ending) {
+	l.mu.Lock()
+	l.ends = how
+	var gone []*clientConn
+	for place, c := range l.conns {
+		if l.goes(place) && !c.lingers {
+			gone = append(gone, l.giveUp(place, closedStop))
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+// goes tells whether a connection goes at this point of a stop.
+func (l *clients) goes(place *connlimit.Conn) bool {
+	switch place.State() {
+	case connlimit.Idle:
+		return l.ends >= leavesIdle
+	case connlimit.New:
+		return l.ends >= leavesNew
+	}
+	return false
+}
+
+// drained waits until no connection is left.
+func (l *clients) drained(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.room.Broadcast()
+	})()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.conns) > 0 {
+		if ctx.Err() != nil {
+			return fmt.Errorf("%d connections of clients: %w", len(l.conns), ctx.Err())
+		}
+		l.room.Wait()
+	}
+	return nil
+}
+
 // Accept waits for room, then for a connection. While all places are taken by
 // requests, connections wait in the queue, where another process may take them.
 // One whose source has more than its share is told at once, as the queue behind it
@@ -184,20 +261,23 @@
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	conn := &clientConn{Conn: c, owner: l}
+	conn := &clientConn{Conn: c, owner: l, ahead: newAheadReader(c)}
 	conn.resting.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
 	for {
 		place, over, out := l.table.Open(l.now(), address)
 		if out != nil {
-			victim = l.giveUp(out)
+			victim = l.giveUp(out, causeOf(out))
 		}
-		if place != nil {
+		if place != nil && l.ends < leavesNew {
 			conn.place = place
 			l.conns[place] = conn
 			break
 		}
+		if place != nil {
+			l.table.Close(place)
+		}
 		if over || l.closed {
 			conn.cause = closedTurnAway
 			l.mu.Unlock()
@@ -236,29 +316,15 @@
 	return l.Listener.Close()
 }
 
-// closeFresh closes the connections that no byte has come on. The server counts
-// them as busy for seconds, and would hold up the gateway's end for them.
-func (l *clients) closeFresh() {
-	l.mu.Lock()
-	var fresh []*clientConn
-	for place, c := range l.conns {
-		if place.State() == connlimit.New {
-			c.cause = closedFresh
-			fresh = append(fresh, c)
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range fresh {
-		c.Close()
-	}
-}
-
 // connState follows what the server does with its connections.
 func (l *clients) connState(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*clientConn)
 	if !ok {
 		return
 	}
+	if l.onState != nil {
+		l.onState(conn, s)
+	}
 	switch s {
 	case http.StateActive:
 		conn.set(connlimit.Busy)
@@ -297,13 +363,17 @@
 	net.Conn
 	owner *clients
 	place *connlimit.Conn
+	ahead *aheadReader // of Conn
 
 	// Of the owner's mu:
 	givenUp bool
+	lingers bool // its end is on the way to the client
 	cause   int
 
-	resting atomic.Bool // New or Idle: the next byte begins a request
-	over    sync.Once
+	resting  atomic.Bool // New or Idle: the next byte begins a request
+	answered atomic.Bool // something was written since the last request began
+	ended    atomic.Bool // there is nobody, or nothing more, to wait for
+	over     sync.Once
 
 	mu    sync.Mutex
 	read  framing
@@ -314,16 +384,34 @@
 // request has begun. One that begins on a connection that was given up is not
 // read: its client sends it again.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.ahead.Read(p)
 	if n > 0 && c.resting.Load() && !c.begin() {
 		return 0, io.EOF
 	}
+	if n == 1 && len(p) == 1 {
+		c.ahead.begin() // net/http listens for the client's end byte by byte, and has found another
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read.read(p[:n])
 	return n, err
 }
 
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.ended.Store(true) // the client takes nothing more
+	}
+	return n, err
+}
+
+// SetReadDeadline is for reads of the server's.
+func (c *clientConn) SetReadDeadline(t time.Time) error { return c.ahead.SetReadDeadline(t) }
+
 func (c *clientConn) begin() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
@@ -331,6 +419,7 @@
 		return false
 	}
 	c.resting.Store(false)
+	c.answered.Store(false)
 	c.owner.table.Set(c.owner.now(), c.place, connlimit.Head)
 	return true
 }
@@ -341,16 +430,48 @@
 		c.heads++
 		c.mu.Unlock()
 	}
+	if c.enter(s) {
+		c.Close()
+	}
+}
+
+// enter takes note of the state, and tells whether the connection goes for it.
+func (c *clientConn) enter(s connlimit.State) (goes bool) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.givenUp {
-		return
+		return false
 	}
 	c.resting.Store(s == connlimit.Idle)
 	c.owner.table.Set(c.owner.now(), c.place, s)
 	if s == connlimit.Idle {
+		c.answered.Store(false)
 		c.owner.room.Broadcast()
 	}
+	if goes = c.owner.goes(c.place); goes {
+		c.owner.giveUp(c.place, closedStop)
+	}
+	return goes
+}
+
+// dropped tells whether the connection was given up. Danger: a head may have been
+// read whole in the moment in which it was given up for taking too long. Sent on,
+// its request would run for nobody.
+func (c *clientConn) dropped() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.givenUp
+}
+
+// gone tells whether the client has ended the connection, behind a request that has
+// been read before.
+func (c *clientConn) gone() bool {
+	select {
+	case <-c.ahead.left:
+		return true
+	default:
+		return false
+	}
 }
 
 // between tells whether no byte of a next request has come.
@@ -382,6 +503,7 @@
 
 // reset makes the connection's end one that the peer can tell from a proper one.
 func (c *clientConn) reset() {
+	c.ended.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
@@ -393,8 +515,43 @@
 	c.Close()
 }
 
-// Close ends the connection and frees its place, once.
+// Close ends the connection and frees its place, once. Behind an answer it ends
+// the gateway's side first and waits for the client's. Danger: a close over bytes
+// that nobody has read resets the connection, and the answer that is on its way
+// goes with it.
 func (c *clientConn) Close() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || !c.answered.Load() || c.ended.Load() || !c.beginLinger() {
+		return c.end()
+	}
+	go c.linger(tcp)
+	return nil
+}
+
+// beginLinger tells whether to wait for the client's end: not where its place is
+// wanted, and not twice.
+func (c *clientConn) beginLinger() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.lingers || c.place == nil || c.givenUp {
+		return false
+	}
+	c.lingers = true
+	c.owner.table.Set(c.owner.now(), c.place, connlimit.Idle) // it may go for another
+	c.owner.room.Broadcast()
+	return true
+}
+
+// linger waits for the client's end. Whoever wants the place closes the connection
+// under it.
+func (c *clientConn) linger(tcp *net.TCPConn) {
+	defer c.end()
+	if tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		io.Copy(io.Discard, io.LimitReader(tcp, lingerMost))
+	}
+}
+
+func (c *clientConn) end() error {
 	err := c.Conn.Close()
 	c.over.Do(func() {
 		l := c.owner
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -116,12 +116,10 @@
 // server serves clients. The time for a body and for an answer depends on their
 // length, and is set where they are read and written.
 func (f *frontend) server() *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnState: f.clients.connState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, firstKey{}, &firstRequest{accepted: time.Now(), conn: c})
 		}}
-	s.RegisterOnShutdown(f.clients.closeFresh)
-	return s
 }
 
 // takesClients is what "ready" means to the platform and to operators.
@@ -166,7 +164,11 @@
 	}
 	control := http.NewResponseController(w)
 	defer requestOver(r)
-	if c := connOf(r); c != nil && c.doubt() {
+	c := connOf(r)
+	if c != nil && (c.dropped() || c.gone()) {
+		panic(http.ErrAbortHandler)
+	}
+	if c != nil && c.doubt() {
 		w.Header().Set("Connection", "close")
 		control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		http.Error(w, "the length of a request is told twice", http.StatusBadRequest)
@@ -203,6 +205,11 @@
 
 // await gives the client what the loop says, or tells the loop that it has left.
 func (f *frontend) await(w http.ResponseWriter, r *http.Request, x *exchange, control *http.ResponseController) {
+	var left <-chan struct{}
+	c := connOf(r)
+	if c != nil {
+		left = c.ahead.left
+	}
 	for {
 		select {
 		case a := <-x.reply:
@@ -213,7 +220,7 @@
 				}
 				continue
 			}
-			if f.leaving.Load() || !x.upload.over() {
+			if f.leaving.Load() || !x.upload.over() || c != nil && c.ahead.full() {
 				w.Header().Set("Connection", "close")
 			}
 			control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -224,6 +231,11 @@
 			if err != nil {
 				cutOff(r)
 			}
+		case <-left:
+			if !f.loop.post(clientGone{x}) {
+				x.abandon(&f.figures.bodies)
+			}
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			if !f.loop.post(clientGone{x}) {
 				x.abandon(&f.figures.bodies)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -18,6 +18,12 @@
 	inboxSize    = 1024
 	answerMargin = 0.005 // seconds kept of a deadline for the way to the client, the loop and the write
 	sameMoment   = 0.001 // a cancel so close before an attempt's time-out is one
+
+	// So many of the stated time-outs the counter's answer is waited for.
+	//
+	// Danger: it comes, however late, once the call has had its turn. What a call
+	// that was given up has added is missing to all gateways for the window.
+	counterPatience = 4
 )
 
 // What sockets tell the loop.
@@ -264,10 +270,18 @@
 }
 
 // shut ends what an exchange is owed.
+//
+// Danger: where the settings allow no cancel, the module leaves its attempts out.
+// One whose connection is not up yet would begin for nobody.
 func (l *Loop) shut(x *exchange) {
 	if x.open = false; x.taken {
 		l.figures.inProgress.Add(-1)
 	}
+	for _, a := range x.attempts {
+		if !a.ended {
+			a.callOffDial()
+		}
+	}
 }
 
 // forsake ends a request whose client has left, or has sent none that is whole.
@@ -433,6 +447,9 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
+	if s.Before > 0 {
+		a.before = l.clock.at(s.Before)
+	}
 	if x.ask.Open {
 		a.deadline = math.Inf(1) // until its body is whole
 	} else {
@@ -560,7 +577,7 @@
 		l.endCall(k, rules.Full, 0)
 		return
 	}
-	l.timers.add(timerEntry{at: k.sent + l.service.CounterTimeout, call: k})
+	l.timers.add(timerEntry{at: k.sent + counterPatience*l.service.CounterTimeout, call: k})
 }
 
 func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
