--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -1,14 +1,20 @@
 package registry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,62 +23,109 @@
 	watchWait   = 4 * time.Second // how long a watch may stand open
 	watchGrace  = time.Second     // and how long after that its answer may take
 	listTimeout = 3 * time.Second
-	mostAnswer  = 4 << 20          // bytes
+	mostAnswer  = 64 << 20         // bytes
+	mostReply   = 4 << 10          // bytes of an answer that is no list
 	complainGap = 10 * time.Second // between lines about services that stay down
 )
 
-// Client keeps a list up to date from several services.
+// errNoScopes says that a list service is of a build that does not know scopes: it has
+// answered with the whole list where a part of it was asked for.
+var errNoScopes = errors.New("the list service does not know scopes: upgrade it, or take the scopes out of this reader's configuration")
+
+// Client keeps a list, or the part of it that scopes select, up to date from several
+// services. It has one connection, over which all of its scopes come.
 type Client struct {
-	feed  *Feed
+	feed  *Feed // of Run
 	heard func(Told)
 	http  *http.Client
 
 	heardAt atomic.Int64 // Unix nanoseconds of the last answer; 0: none
+
+	mu       sync.Mutex // of what follows
+	wanted   []Scope
+	rescoped bool          // wanted has changed, and the feed does not know
+	rescope  chan struct{} // says so to a Run that waits
 }
 
 // Told is an answer that tells something new.
 type Told struct {
 	Listing         // as it came
-	News    Listing // what of it is news
+	News    Listing // what of it is news for this reader; the instances of dropped scopes are Gone
 	History string
-	Epoch   int64 // of the writer; 0: not told
+	Epoch   int64   // of the writer; 0: not told
+	Unknown []Scope // of the scopes asked for, those whose service the list service does not know
 }
 
 // NewClient calls heard, one at a time, with each answer that tells something new.
 func NewClient(addresses []string, random *rand.Rand, heard func(Told)) *Client {
-	return &Client{feed: NewFeed(addresses, random), heard: heard,
+	return &Client{feed: NewFeed(addresses, random), heard: heard, rescope: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
+// SetScopes changes the part of the list that is read; without scopes it is the whole
+// list. It may be called before Run and during it, from any goroutine. Of several calls in
+// a row the last counts.
+func (c *Client) SetScopes(scopes []Scope) {
+	c.mu.Lock()
+	c.wanted, c.rescoped = slices.Clone(scopes), true
+	c.mu.Unlock()
+	select {
+	case c.rescope <- struct{}{}:
+	default: // it has been said
+	}
+}
+
+// takeScopes puts the scopes that SetScopes has named in force.
+func (c *Client) takeScopes() {
+	c.mu.Lock()
+	wanted, rescoped := c.wanted, c.rescoped
+	c.rescoped = false
+	c.mu.Unlock()
+	if !rescoped {
+		return
+	}
+	news := c.feed.SetScopes(wanted)
+	if len(news.Instances) > 0 {
+		c.heard(Told{Listing: Listing{Generation: news.Generation}, News: news, History: c.feed.history, Unknown: c.feed.Unknown()})
+	}
+}
+
+// answer is what a call came to.
+type answer struct {
+	listing Listing
+	history string
+	epoch   int64
+	age     time.Duration
+	advised time.Duration // a pause that the service asks for
+	err     error
+}
+
 // Run follows the list until ctx ends, from other addresses when moves has some.
 func (c *Client) Run(ctx context.Context, moves <-chan []string) {
 	defer c.http.CloseIdleConnections()
 	var complained time.Time
 	for ctx.Err() == nil {
+		c.takeScopes()
 		ask := c.feed.Next()
 		calling, cancel := context.WithCancel(ctx)
-		type end struct {
-			l       Listing
-			history string
-			epoch   int64
-			age     time.Duration
-			advised time.Duration
-			err     error
-		}
-		ended := make(chan end, 1)
-		go func() {
-			var e end
-			e.l, e.history, e.epoch, e.age, e.advised, e.err = c.ask(calling, ask)
-			ended <- e
-		}()
-		var e end
+		ended := make(chan answer, 1)
+		go func() { ended <- c.ask(calling, ask) }()
+		var a answer
 		var moved []string
+		var rescope chan struct{}
+		if ask.Waits() {
+			rescope = c.rescope // other calls are answered soon, and scopes that change often must not keep them from that
+		}
 		select {
-		case e = <-ended:
+		case a = <-ended:
 		case moved = <-moves:
 			cancel()
 			<-ended
+		case <-rescope:
+			cancel()
+			<-ended
+			continue
 		}
 		cancel()
 		switch {
@@ -81,32 +134,54 @@
 		case moved != nil:
 			c.feed.Move(moved)
 			continue
-		case e.err == nil:
-			var news Listing
-			if news, e.err = c.feed.Answered(e.l, e.history, e.age); e.err == nil {
-				c.heardAt.Store(time.Now().UnixNano())
-				if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since {
-					c.heard(Told{e.l, news, e.history, e.epoch})
-				}
+		case a.err == nil:
+			if a.err = c.take(ask, a); a.err == nil {
 				continue
 			}
 		}
 		if time.Since(complained) > complainGap {
 			complained = time.Now()
-			slog.Warn("list service", "address", ask.Address, "error", e.err)
+			slog.Warn("list service", "address", ask.Address, "error", a.err)
 		}
 		c.http.CloseIdleConnections()
-		wait := time.NewTimer(c.feed.Failed(e.advised))
+		c.pause(ctx, c.feed.Failed(a.advised), moves)
+	}
+}
+
+// pause waits for the next try, or until there are other addresses.
+func (c *Client) pause(ctx context.Context, pause time.Duration, moves <-chan []string) {
+	wait := time.NewTimer(pause)
+	defer wait.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case moved = <-moves:
+			return
+		case moved := <-moves:
 			c.feed.Move(moved)
+			return
+		case <-c.rescope:
+			c.takeScopes() // what is dropped is told at once; the call for what is new keeps to the pause
 		case <-wait.C:
+			return
 		}
-		wait.Stop()
 	}
 }
 
+// take hands on what an answer tells.
+func (c *Client) take(ask Ask, a answer) error {
+	before := c.feed.Unknown()
+	news, err := c.feed.AnsweredTo(ask, a.listing, a.history, a.age)
+	if err != nil {
+		return err
+	}
+	c.heardAt.Store(time.Now().UnixNano())
+	unknown := c.feed.Unknown()
+	if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since || !slices.Equal(before, unknown) {
+		c.heard(Told{a.listing, news, a.history, a.epoch, unknown})
+	}
+	return nil
+}
+
 // Age is how long ago the last answer came; below 0: none has.
 func (c *Client) Age() time.Duration {
 	at := c.heardAt.Load()
@@ -116,48 +191,131 @@
 	return time.Since(time.Unix(0, at))
 }
 
-func (c *Client) ask(ctx context.Context, a Ask) (l Listing, history string, epoch int64, age, advised time.Duration, err error) {
-	url, limit := "http://"+a.Address+Path, listTimeout
-	if !a.Whole {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d&history=%s", a.Since, watchWait.Milliseconds(), a.History)
+// ask makes a call. A service that does not know its scopes by their id is told them.
+func (c *Client) ask(ctx context.Context, a Ask) answer {
+	limit := listTimeout
+	if a.Waits() {
 		limit = watchWait + watchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	got, known := c.list(ctx, a)
+	if known {
+		return got
+	}
+	sets := []*ScopeSet{a.Scopes}
+	if a.Held != nil && !a.Held.same(a.Scopes) {
+		sets = append(sets, a.Held)
+	}
+	for _, set := range sets {
+		if err := c.subscribe(ctx, a.Address, set); err != nil {
+			return answer{err: err}
+		}
+	}
+	got, _ = c.list(ctx, a)
+	return got
+}
+
+// list asks for a list, and says whether the service knows the scopes.
+func (c *Client) list(ctx context.Context, a Ask) (got answer, known bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+Path+a.query(), nil)
 	if err != nil {
-		return l, "", 0, 0, 0, err
+		return answer{err: err}, true
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return l, "", 0, 0, 0, err
+		return answer{err: err}, true
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK && resp.Header.Get(SubscriptionHeader) != a.Scopes.ID() {
+		return answer{err: errNoScopes}, true // its body is left, which may be all of a long list
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer+1))
 	switch {
 	case err != nil:
-		return l, "", 0, 0, 0, err
+		return answer{err: err}, true
 	case len(body) > mostAnswer:
-		return l, "", 0, 0, 0, errors.New("the list is too long")
+		return answer{err: errors.New("the list is too long")}, true
 	case resp.StatusCode != http.StatusOK:
-		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		if !(after > 0) {
-			after = 0
-		}
-		advised = time.Duration(min(after, mostAdvised.Seconds()) * float64(time.Second))
-		return l, "", 0, 0, advised, fmt.Errorf("status %s: %.200s", resp.Status, body)
+		return answer{advised: advisedPause(resp), err: fmt.Errorf("status %s: %.200s", resp.Status, body)},
+			a.Scopes == nil || resp.StatusCode != http.StatusNotFound
 	}
-	if l, err = ParseListing(body); err != nil {
-		return l, "", 0, 0, 0, err
+	if got.listing, got.err = ParseListing(body); got.err != nil {
+		return answer{err: got.err}, true
 	}
 	if a.Whole {
-		l.Reset = true // a call without a version is answered with all there are
+		got.listing.Reset = true // a call without a version is answered with all there are
 	}
 	if ms, err := strconv.ParseInt(resp.Header.Get(AgeHeader), 10, 64); err == nil && ms > 0 {
-		age = time.Duration(min(ms, mostAdvised.Milliseconds())) * time.Millisecond
+		got.age = time.Duration(min(ms, mostAdvised.Milliseconds())) * time.Millisecond
 	}
 	if n, err := strconv.ParseInt(resp.Header.Get(EpochHeader), 10, 64); err == nil && n > 0 {
-		epoch = n
+		got.epoch = n
+	}
+	got.history = resp.Header.Get(HistoryHeader)
+	return got, true
+}
+
+// wait is how long the service may wait for something new.
+func (a Ask) wait() time.Duration {
+	if !a.Waits() {
+		return 0
+	}
+	return watchWait
+}
+
+// query is the part of a call's address that says what is asked for.
+func (a Ask) query() string {
+	var parts []string
+	if a.Scopes != nil {
+		parts = append(parts, subscriptionParameter+"="+a.Scopes.ID())
+	}
+	if !a.Whole {
+		if a.Held != nil && !a.Held.same(a.Scopes) {
+			parts = append(parts, heldParameter+"="+a.Held.ID())
+		}
+		parts = append(parts, fmt.Sprintf("since=%d&timeout_ms=%d&history=%s", a.Since, a.wait().Milliseconds(), url.QueryEscape(a.History)))
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "?" + strings.Join(parts, "&")
+}
+
+// subscribe tells a service a set of scopes.
+func (c *Client) subscribe(ctx context.Context, address string, set *ScopeSet) error {
+	text, err := json.Marshal(subscriptionCall{Scopes: set.Strings()})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+SubscriptionsPath, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostReply))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%d scopes: status %s: %.200s", set.Len(), resp.Status, body)
+	}
+	var reply subscriptionReply
+	if err := json.Unmarshal(body, &reply); err != nil || reply.Subscription != set.ID() {
+		return fmt.Errorf("%d scopes: the service calls them %.80q, which are %s", set.Len(), reply.Subscription, set.ID())
+	}
+	return nil
+}
+
+// advisedPause is how long a service asks a caller to wait.
+func advisedPause(resp *http.Response) time.Duration {
+	after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if !(after > 0) {
+		return 0
 	}
-	return l, resp.Header.Get(HistoryHeader), epoch, age, 0, nil
+	return time.Duration(min(after, mostAdvised.Seconds()) * float64(time.Second))
 }
--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,11 +21,22 @@
 	errOlder   = errors.New("the list is older than the one that is had")
 	errLeft    = errors.New("the list is of a history that was left")
 	errNoWhole = errors.New("changes of a history that is not known")
+
+	// errScopesChanged says that an answer is to a call made before the reader's scopes
+	// changed.
+	errScopesChanged = errors.New("the scopes have changed since the call")
+	// errOutOfScope says that an answer has an instance that was not asked for.
+	errOutOfScope = errors.New("the list has an instance outside of the scopes")
 )
 
 // Feed is the state of one that reads the list from several services. It is a
 // state machine: it says whom to ask for what, is told how that went, and says what
 // is news and how long to wait.
+//
+// It reads the whole list or, after SetScopes, the part that some scopes select. What it
+// knows is the list at its version, restricted to the scopes that it holds. Those are the
+// scopes that it wants, except between SetScopes and the next answer: that answer has the
+// instances of the new scopes and the changes to the others, at one version.
 type Feed struct {
 	addresses []string
 	at        int
@@ -37,6 +48,14 @@
 	version int64
 	past    []string
 	known   map[string]Instance
+
+	wanted   *ScopeSet // nil: the whole list
+	held     *ScopeSet // the scopes that known has the list of; nil: none, or it is the whole list
+	whole    bool      // known is the whole list
+	revision int       // counts the changes of wanted
+	unknown  []Scope   // of the wanted scopes, those that the service does not know
+
+	compared int64 // instances that answers were compared by
 }
 
 // NewFeed reads from the given addresses, in an order of its own.
@@ -58,17 +77,39 @@
 	Whole   bool // else what has changed since
 	Since   int64
 	History string
+
+	Scopes *ScopeSet // nil: of the whole list
+	Held   *ScopeSet // of the scopes, those that Since is about; others beside them are dropped
+
+	revision int
 }
 
+// Waits reports whether the call may wait for changes: it asks for no new scopes.
+func (a Ask) Waits() bool { return !a.Whole && a.Held.same(a.Scopes) }
+
 // Next returns the call to make now.
 func (f *Feed) Next() Ask {
-	return Ask{Address: f.addresses[f.at], Whole: !f.listed, Since: f.version, History: f.history}
+	return Ask{Address: f.addresses[f.at], Whole: !f.listed || !f.holds(), Since: f.version, History: f.history,
+		Scopes: f.wanted, Held: f.held, revision: f.revision}
 }
 
-// Answered takes a list in that came whole, and returns what of it is news. An
-// error says that the list is not for this reader; it counts as a failure.
+// holds reports whether changes behind the version are of use: the feed has the list of
+// some scopes that it wants or, where it wants the whole list, has that.
+func (f *Feed) holds() bool { return f.whole == (f.wanted == nil) && (f.whole || f.held != nil) }
+
+// Answered takes a list in that came whole in answer to the call that Next returns, and
+// returns what of it is news. An error says that the list is not for this reader; it counts
+// as a failure.
 func (f *Feed) Answered(l Listing, history string, age time.Duration) (news Listing, err error) {
+	return f.AnsweredTo(f.Next(), l, history, age)
+}
+
+// AnsweredTo takes the answer to a call that an earlier Next returned. If the scopes have
+// changed since, the answer is refused, and it is no failure of the service.
+func (f *Feed) AnsweredTo(ask Ask, l Listing, history string, age time.Duration) (news Listing, err error) {
 	switch {
+	case ask.revision != f.revision:
+		return Listing{}, errScopesChanged
 	case f.listed && history == f.history && l.Generation < f.version:
 		return Listing{}, errOlder
 	case history != f.history && slices.Contains(f.past, history):
@@ -77,6 +118,10 @@
 		return Listing{}, errNoWhole
 	}
 	news = Listing{Generation: l.Generation, Reset: !f.listed || history != f.history}
+	unknown, err := f.admit(ask, l)
+	if err != nil {
+		return Listing{}, err
+	}
 	if f.listed && history != f.history {
 		if f.past = append(f.past, f.history); len(f.past) > mostPast {
 			f.past = f.past[1:]
@@ -86,30 +131,122 @@
 	if l.Reset {
 		next = make(map[string]Instance, len(l.Instances))
 	}
+	var told map[string]bool // the news, where instances that are missing may be among them
+	if l.Reset && !news.Reset {
+		told = make(map[string]bool, len(l.Instances))
+	}
 	for _, i := range l.Instances {
+		f.compared++
 		if was, there := f.known[i.ID]; news.Reset || !there && i.Lifecycle != Gone || there && was != i {
 			news.Instances = append(news.Instances, i)
+			if told != nil {
+				told[i.ID] = true
+			}
 		}
 		if next[i.ID] = i; i.Lifecycle == Gone {
 			delete(next, i.ID)
 		}
 	}
-	if l.Reset && !news.Reset {
-		for _, id := range slices.Sorted(maps.Keys(f.known)) {
-			if _, still := next[id]; !still && !slices.ContainsFunc(news.Instances, func(i Instance) bool { return i.ID == id }) {
-				i := f.known[id]
-				i.Lifecycle = Gone
-				news.Instances = append(news.Instances, i)
-			}
-		}
+	if told != nil {
+		news.Instances = appendGone(news.Instances, f.known, func(i Instance) bool {
+			f.compared++
+			_, still := next[i.ID]
+			return !still && !told[i.ID]
+		})
+	}
+	f.known = next
+	if ask.Scopes != nil && !l.Reset && !ask.Waits() {
+		news.Instances = append(news.Instances, f.drop(ask.Scopes)...)
 	}
-	f.listed, f.history, f.version, f.known, f.failures = true, history, l.Generation, next, 0
+	f.held, f.whole, f.unknown = ask.Scopes, ask.Scopes == nil, unknown
+	f.listed, f.history, f.version, f.failures = true, history, l.Generation, 0
 	if age > staleAge {
 		f.step()
 	}
 	return news, nil
 }
 
+// admit finds the scopes that the service does not know, and refuses an answer with
+// instances that were not asked for.
+func (f *Feed) admit(ask Ask, l Listing) (unknown []Scope, err error) {
+	if ask.Scopes == nil {
+		return nil, nil
+	}
+	for _, i := range l.Instances {
+		if i.Lifecycle != Gone && !ask.Scopes.Matches(i) {
+			return nil, errOutOfScope
+		}
+	}
+	return ParseScopes(l.Unknown)
+}
+
+// SetScopes changes the part of the list that is wanted; without scopes it is the whole
+// list. It returns, as Gone, the instances that are not in it any more.
+//
+// The instances of a dropped scope stay until the next answer where its service has a new
+// scope beside it: a scope may be replaced by another of the same service, and until the
+// new one is had, the old one serves. Between the whole list and scopes, all that is known
+// stays until the answer to the other. A scope within one that is held needs no call.
+func (f *Feed) SetScopes(scopes []Scope) (news Listing) {
+	news = Listing{Generation: f.version}
+	wanted := newScopeSet(scopes)
+	if wanted.same(f.wanted) {
+		return news
+	}
+	f.wanted = wanted
+	f.revision++
+	f.unknown = slices.DeleteFunc(f.unknown, func(scope Scope) bool { return !wanted.has(scope) })
+	if wanted == nil || f.held == nil {
+		f.held = nil
+		return news
+	}
+	var held []Scope
+	missing := map[string]bool{} // services of which scopes are to come
+	for _, scope := range wanted.scopes {
+		if f.held.covers(scope) {
+			held = append(held, scope)
+		} else {
+			missing[scope.Service] = true
+		}
+	}
+	for _, scope := range f.held.scopes {
+		if missing[scope.Service] {
+			held = append(held, scope)
+		}
+	}
+	f.held = newScopeSet(held)
+	news.Instances = f.drop(f.held)
+	return news
+}
+
+// Compared counts the instances that were looked at to tell what of the answers is news.
+func (f *Feed) Compared() int64 { return f.compared }
+
+// Unknown returns the wanted scopes that the service did not know at the last answer.
+func (f *Feed) Unknown() []Scope { return slices.Clone(f.unknown) }
+
+// drop forgets all instances but those of scopes, and returns them as Gone.
+func (f *Feed) drop(scopes *ScopeSet) []Instance {
+	dropped := appendGone(nil, f.known, func(i Instance) bool { return scopes == nil || !scopes.Matches(i) })
+	for _, i := range dropped {
+		delete(f.known, i.ID)
+	}
+	return dropped
+}
+
+// appendGone appends, as Gone and in the order of their ids, the instances that are chosen.
+func appendGone(to []Instance, from map[string]Instance, chosen func(Instance) bool) []Instance {
+	first := len(to)
+	for _, i := range from {
+		if chosen(i) {
+			i.Lifecycle = Gone
+			to = append(to, i)
+		}
+	}
+	slices.SortFunc(to[first:], func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	return to
+}
+
 // Failed takes note of a call that failed, and returns how long to wait for the
 // next. A service that turned the call away may have said for how long.
 func (f *Feed) Failed(advised time.Duration) time.Duration {
--- a/internal/registry/instance.go
+++ b/internal/registry/instance.go
@@ -29,9 +29,29 @@
 	Generation int64      `json:"generation"`
 	Reset      bool       `json:"reset"` // all there are, not changes alone
 	Instances  []Instance `json:"instances"`
+
+	// Unknown are, of an answer to scopes, those whose service is not known.
+	Unknown []string `json:"unknown,omitempty"`
+	// Moved are, of changes to the whole list, where instances were meanwhile.
+	Moved []Moved `json:"moved,omitempty"`
+	// EmptyServices are, of the whole list, services that have had instances.
+	EmptyServices []string `json:"emptyServices,omitempty"`
+}
+
+// Moved tells the placements that an instance left within the changes of one answer.
+// A follower keeps them, so that its readers of a scope hear that the instance has left
+// it, also those that come from a version between two of the follower's.
+type Moved struct {
+	ID   string      `json:"instanceId"`
+	From []Placement `json:"from"`
 }
 
 // Instance is one backend.
+//
+// Danger: services of the build before Service and Region refuse records and
+// registrations that have them, and followers of that build drop them from their copies.
+// All list services, the members of a group above all, must be upgraded before the first
+// instance registers with a service. Readers of the older build pass the fields over.
 type Instance struct {
 	ID          string    `json:"instanceId"`
 	HostPort    string    `json:"hostPort"`
@@ -42,6 +62,8 @@
 	Weight      float64   `json:"weight"`
 	StartedAtMs int64     `json:"startedAtMs"`
 	Drained     bool      `json:"drained,omitempty"` // of one that is Gone: it was draining, and so is its process if it returns
+	Service     string    `json:"service,omitempty"`
+	Region      string    `json:"region,omitempty"`
 }
 
 // Lifecycle is what an instance does.
@@ -87,6 +109,10 @@
 		return fmt.Errorf("startedAtMs: %d is out of range", i.StartedAtMs)
 	case i.Drained && i.Lifecycle != Gone:
 		return fmt.Errorf("drained: %s is %s, not Gone", i.ID, i.Lifecycle)
+	case i.Service != "" && !isServiceName(i.Service):
+		return fmt.Errorf("service: %.80q is not 1 to %d letters, digits and -_.", i.Service, mostName)
+	case i.Region != "" && !isName(i.Region):
+		return fmt.Errorf("region: %.80q is not a name of 1 to %d letters", i.Region, mostName)
 	}
 	return nil
 }
@@ -148,5 +174,31 @@
 	if len(slices.Compact(ids)) != len(l.Instances) {
 		return Listing{}, errors.New("list: an instance stands there twice")
 	}
+	if err := l.checkScoped(); err != nil {
+		return Listing{}, fmt.Errorf("list: %w", err)
+	}
 	return l, nil
 }
+
+// checkScoped reports what is wrong with the parts of a list that scopes need.
+func (l Listing) checkScoped() error {
+	if _, err := ParseScopes(l.Unknown); err != nil {
+		return err
+	}
+	for _, moved := range l.Moved {
+		if err := checkID(moved.ID); err != nil {
+			return err
+		}
+		for _, from := range moved.From {
+			if err := from.check(); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range l.EmptyServices {
+		if !isServiceName(name) {
+			return fmt.Errorf("emptyServices: %.80q is not the name of a service", name)
+		}
+	}
+	return nil
+}
--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -17,6 +17,7 @@
 	Change *SavedInstance `json:"change,omitempty"` // a change of the history
 	Copy   *SavedCopy     `json:"copy,omitempty"`   // what a follower's writer has told
 	Fence  *Fence         `json:"fence,omitempty"`  // another has taken this writer's place
+	Empty  *SavedServices `json:"empty,omitempty"`  // of a snapshot: services without instances
 }
 
 // Begin is where a history begins or, in a snapshot, where it is.
@@ -32,6 +33,14 @@
 type SavedInstance struct {
 	Version  int64           `json:"version"`
 	Instance json.RawMessage `json:"instance"`
+	// Left are, of a change in a snapshot, the placements that the instance left with it.
+	Left []Placement `json:"left,omitempty"`
+}
+
+// SavedServices are the services that have had instances and have none, the first to
+// become empty first.
+type SavedServices struct {
+	Names []string `json:"names"`
 }
 
 // SavedCopy is a list that a follower has copied.
@@ -64,7 +73,7 @@
 		return s, err
 	}
 	parts := 0
-	for _, set := range []bool{s.Begin != nil, s.Entry != nil, s.Change != nil, s.Copy != nil, s.Fence != nil} {
+	for _, set := range []bool{s.Begin != nil, s.Entry != nil, s.Change != nil, s.Copy != nil, s.Fence != nil, s.Empty != nil} {
 		if set {
 			parts++
 		}
@@ -101,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		s.entries[i.ID] = &entry{Instance: i, version: r.Entry.Version, text: r.Entry.Instance, expires: now + s.limits.Lease}
+		s.enter(&entry{Instance: i, version: r.Entry.Version, text: r.Entry.Instance, expires: now + s.limits.Lease})
 	case r.Change != nil:
 		i, err := r.Change.instance()
 		if err != nil {
@@ -112,15 +121,23 @@
 			if r.Change.Version <= s.from {
 				return fmt.Errorf("version %d is not behind %d", r.Change.Version, s.from)
 			}
-			s.remember(change{r.Change.Version, i.ID, i.StartedAtMs, i.Drained, r.Change.Instance}, i.Lifecycle == Gone && s.entries[i.ID] == nil)
+			c := newChange(i, r.Change.Version, r.Change.Instance)
+			c.left = r.Change.Left
+			s.remember(c, c.gone && s.entries[i.ID] == nil)
 			return nil
 		}
-		s.putText(i, r.Change.Instance, r.Change.Version, now)
+		s.putText(i, r.Change.Instance, r.Change.Version, now, r.Change.Left)
+		s.forgetServices()
 	case r.Copy != nil:
 		s.epoch, s.writes = max(s.epoch, r.Copy.Epoch), false
 		return s.Copy(now, r.Copy.Listing, r.Copy.History)
 	case r.Fence != nil:
 		s.fence = r.Fence
+	case r.Empty != nil:
+		for _, name := range r.Empty.Names {
+			s.services.mention(name)
+		}
+		s.forgetServices()
 	}
 	return nil
 }
@@ -131,10 +148,13 @@
 	all := []Saved{{Begin: &Begin{History: s.history, Version: s.version, From: s.from, Epoch: s.epoch, Writer: s.writes}}}
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		e := s.entries[id]
-		all = append(all, Saved{Entry: &SavedInstance{e.version, e.text}})
+		all = append(all, Saved{Entry: &SavedInstance{Version: e.version, Instance: e.text}})
+	}
+	if names := s.services.emptyNames(); len(names) > 0 {
+		all = append(all, Saved{Empty: &SavedServices{names}})
 	}
 	for _, c := range s.changes {
-		all = append(all, Saved{Change: &SavedInstance{c.version, c.text}})
+		all = append(all, Saved{Change: &SavedInstance{c.version, c.text, c.left}})
 	}
 	if s.fence != nil {
 		all = append(all, Saved{Fence: s.fence})
@@ -156,7 +176,7 @@
 func (s *Store) Staged() [][]byte {
 	var all [][]byte
 	for _, c := range s.staged {
-		all = append(all, encodeSaved(Saved{Change: &SavedInstance{c.version, c.text}}))
+		all = append(all, encodeSaved(Saved{Change: &SavedInstance{Version: c.version, Instance: c.text}}))
 	}
 	return all
 }
@@ -166,8 +186,9 @@
 	staged := s.staged
 	s.Drop()
 	for _, c := range staged {
-		s.putText(c.instance, c.text, c.version, now)
+		s.putText(c.instance, c.text, c.version, now, nil)
 	}
+	s.forgetServices()
 }
 
 // Drop forgets the staged changes: they have not happened.
--- /dev/null
+++ b/internal/registry/scoped.go
@@ -0,0 +1,323 @@
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	mostScopedBytes = 8 << 20 // of the answers to scopes that are kept for others who ask the same
+	mostScopedKept  = 256     // and how many they are
+	leastListCost   = 1.0 / 64
+)
+
+// ScopedRead is a question about a part of the list.
+type ScopedRead struct {
+	Since   int64  // the version that the reader is at; below 0: it has nothing
+	History string // that the version belongs to; empty: any
+	Scopes  *ScopeSet
+	// Held are the scopes of which the reader has the list at the version. It is told all
+	// instances of its other scopes, and what has changed in these.
+	Held *ScopeSet
+}
+
+// joins reports whether the reader has some scopes and wants others beside them.
+func (q ScopedRead) joins() bool { return !q.Held.same(q.Scopes) }
+
+// concerns reports whether a change can alter what the reader has or wants.
+func (q ScopedRead) concerns(c *change) bool {
+	if q.touches(c.at) {
+		return true
+	}
+	for _, p := range c.left {
+		if q.touches(p) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q ScopedRead) touches(p Placement) bool {
+	return q.Scopes.contains(p) || q.joins() && q.Held.contains(p)
+}
+
+// toList returns the services of which a reader is told all instances in its scopes. A
+// reader without a list is one that holds nothing.
+func (q ScopedRead) toList(held *ScopeSet) (services []string) {
+	for name, scopes := range q.Scopes.byService {
+		if held == nil || slices.ContainsFunc(scopes, func(scope Scope) bool { return !held.covers(scope) }) {
+			services = append(services, name)
+		}
+	}
+	return services
+}
+
+// scopedKey identifies an answer at the store's version.
+type scopedKey struct {
+	since        int64
+	scopes, held string
+}
+
+// scopedAnswers keeps answers for readers that ask the same at the same version.
+type scopedAnswers struct {
+	kept  map[scopedKey]Answer
+	bytes int
+}
+
+func (a *scopedAnswers) clear() {
+	clear(a.kept)
+	a.bytes = 0
+}
+
+func (a *scopedAnswers) keep(key scopedKey, answer Answer) {
+	if len(a.kept) >= mostScopedKept || a.bytes+len(answer.Body) > mostScopedBytes {
+		a.clear()
+	}
+	if a.kept == nil {
+		a.kept = map[scopedKey]Answer{}
+	}
+	a.kept[key] = answer
+	a.bytes += len(answer.Body)
+}
+
+// Quiet reports whether a reader that is at a version of a history has nothing to hear.
+// It looks at the changes behind that version alone, and only at whom they concern. A
+// reader that is told so is as good as at the store's version.
+func (s *Store) Quiet(q ScopedRead) bool {
+	if q.History != s.history || q.joins() || q.Since < s.from || q.Since > s.version {
+		return false
+	}
+	for n := s.behind(q.Since); n < len(s.changes); n++ {
+		if q.concerns(&s.changes[n]) {
+			return false
+		}
+	}
+	return true
+}
+
+// behind returns the place of the first change after a version.
+func (s *Store) behind(version int64) int {
+	return sort.Search(len(s.changes), func(n int) bool { return s.changes[n].version > version })
+}
+
+// ReadScoped answers as Read does, for a part of the list: with all instances of the
+// scopes, or with the last state of each instance that has changed in them. An instance
+// that has left the scopes is told as Gone.
+func (s *Store) ReadScoped(now time.Duration, q ScopedRead) (Answer, error) {
+	if err := s.readable(now); err != nil {
+		return Answer{}, err
+	}
+	if q.Held == nil {
+		q.Held = q.Scopes
+	}
+	same := q.History == "" || q.History == s.history
+	whole := q.Since < 0 || !same || q.Since < s.from
+	if !whole && q.Since > s.version {
+		return Answer{}, refuse(http.StatusBadRequest, "since: version %d is yet to come, this is %d", q.Since, s.version)
+	}
+	key := scopedKey{q.Since, q.Scopes.ID(), q.Held.ID()}
+	if whole {
+		key.since, key.held = -1, ""
+	}
+	if answer, there := s.scoped.kept[key]; there {
+		return answer, nil
+	}
+	var texts [][]byte
+	if whole {
+		texts = s.scopedWhole(q, nil, nil)
+	} else {
+		var err error
+		if texts, err = s.scopedChanges(q); err != nil {
+			return Answer{}, err
+		}
+	}
+	s.stats.Joined++
+	s.stats.Scoped++
+	answer := Answer{Whole: whole || q.joins(), Nothing: !whole && !q.joins() && len(texts) == 0,
+		Body: encodeAnswer(s.version, whole, texts, []answerPart{{"unknown", s.unknown(q.Scopes)}})}
+	s.scoped.keep(key, answer)
+	return answer, nil
+}
+
+// scopedWhole returns the instances of a reader's scopes, by id, without those of scopes
+// that it holds and those that were told.
+func (s *Store) scopedWhole(q ScopedRead, held *ScopeSet, told map[string]bool) (texts [][]byte) {
+	var entries []*entry
+	for _, name := range q.toList(held) {
+		of := s.services.known[name]
+		if of == nil {
+			continue
+		}
+		for _, e := range of.instances {
+			p := e.placement()
+			if q.Scopes.contains(p) && (held == nil || !held.contains(p)) && !told[e.ID] {
+				entries = append(entries, e)
+			}
+		}
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range entries {
+		texts = append(texts, e.text)
+	}
+	return texts
+}
+
+// scopedChanges returns the last state of each instance that has changed in the scopes,
+// and all instances of the scopes that the reader does not hold.
+//
+// Of an instance the last change that concerns the reader says all: had it been in a scope
+// after that, the next change would name its placement, as the one that it left.
+func (s *Store) scopedChanges(q ScopedRead) (texts [][]byte, err error) {
+	first := s.behind(q.Since)
+	told := map[string]bool{}
+	for n := len(s.changes) - 1; n >= first; n-- {
+		c := &s.changes[n]
+		if !q.concerns(c) || told[c.id] {
+			continue
+		}
+		told[c.id] = true
+		text := c.text
+		if !c.gone && !q.Scopes.contains(c.at) || c.gone && !q.touches(c.at) {
+			if text, err = q.leaves(c); err != nil {
+				return nil, err
+			}
+		}
+		texts = append(texts, text)
+	}
+	slices.Reverse(texts)
+	if q.joins() {
+		texts = append(texts, s.scopedWhole(q, q.Held, told)...)
+	}
+	return texts, nil
+}
+
+// leaves encodes, for an instance that has moved out of the reader's scopes, that it is
+// Gone from where the reader knew it.
+func (q ScopedRead) leaves(c *change) ([]byte, error) {
+	var i Instance
+	if err := json.Unmarshal(c.text, &i); err != nil {
+		return nil, err
+	}
+	i.Lifecycle, i.Drained = Gone, false
+	for _, p := range c.left {
+		if q.touches(p) {
+			i.Service, i.Region, i.Zone = p.Service, p.Region, p.Zone
+			break
+		}
+	}
+	return json.Marshal(i)
+}
+
+// unknown returns the scopes whose service is not known.
+func (s *Store) unknown(scopes *ScopeSet) (texts []string) {
+	for _, scope := range scopes.scopes {
+		if s.services.known[scope.Service] == nil {
+			texts = append(texts, scope.String())
+		}
+	}
+	return texts
+}
+
+// answer reads for a question, which names scopes or not.
+func (s *Store) answer(now time.Duration, q ScopedRead) (Answer, error) {
+	if q.Scopes == nil {
+		return s.Read(now, q.Since, q.History)
+	}
+	return s.ReadScoped(now, q)
+}
+
+// listCost is the part of the list that has to be looked at to list what a question asks
+// for: 1 is all of it.
+func (s *Store) listCost(q ScopedRead) float64 {
+	if q.Scopes == nil {
+		return 1
+	}
+	var held *ScopeSet
+	if q.joins() {
+		held = q.Held
+	}
+	looked := 0
+	for _, name := range q.toList(held) {
+		if of := s.services.known[name]; of != nil {
+			looked += len(of.instances)
+		}
+	}
+	return max(float64(looked)/float64(max(len(s.entries), 1)), leastListCost)
+}
+
+// answerPart is a part of an answer beside its instances. It is left out if it is empty.
+type answerPart struct {
+	name  string
+	value any
+}
+
+// encodeAnswer puts an answer together from the texts of its instances.
+func encodeAnswer(version int64, reset bool, texts [][]byte, more []answerPart) []byte {
+	size := len(texts) + 64
+	for _, text := range texts {
+		size += len(text)
+	}
+	body := make([]byte, 0, size)
+	body = append(body, `{"generation":`...)
+	body = strconv.AppendInt(body, version, 10)
+	body = append(body, `,"reset":`...)
+	body = strconv.AppendBool(body, reset)
+	body = append(body, `,"instances":[`...)
+	for n, text := range texts {
+		if n > 0 {
+			body = append(body, ',')
+		}
+		body = append(body, text...)
+	}
+	body = append(body, ']')
+	for _, part := range more {
+		value, err := json.Marshal(part.value)
+		if err != nil {
+			panic(err) // of plain fields
+		}
+		if bytes.Equal(value, []byte("null")) || bytes.Equal(value, []byte("[]")) {
+			continue
+		}
+		body = append(body, ',', '"')
+		body = append(body, part.name...)
+		body = append(body, '"', ':')
+		body = append(body, value...)
+	}
+	return append(body, "}\n"...)
+}
+
+// movedInstances collects where instances were before the last change of an answer.
+type movedInstances map[string][]Placement
+
+// add takes in a change of an instance that is now at another placement.
+func (m *movedInstances) add(c *change, now Placement) {
+	left := (*m)[c.id]
+	was := len(left)
+	for _, p := range c.left {
+		left = appendLeft(left, p, now)
+	}
+	left = appendLeft(left, c.at, now)
+	if len(left) == was {
+		return
+	}
+	if *m == nil {
+		*m = movedInstances{}
+	}
+	(*m)[c.id] = left
+}
+
+// sorted returns the instances in the order of their ids; nil of none.
+func (m movedInstances) sorted() []Moved {
+	var all []Moved
+	for id, from := range m {
+		all = append(all, Moved{id, from})
+	}
+	slices.SortFunc(all, func(a, b Moved) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -37,7 +37,22 @@
 type ServerLimits struct {
 	Connections int
 	Watchers    int
-	Lists       float64 // whole lists in a second
+	Lists       float64 // whole lists in a second; one of scopes counts by its share
+
+	// Of the scopes that readers name; 0: the defaults above.
+	Subscriptions      int   // sets of scopes that are kept
+	SubscriptionScopes int   // scopes of one set
+	SubscribedScopes   int   // scopes of all sets
+	SubscriptionBytes  int64 // of a call that names a set
+}
+
+// withDefaults puts the defaults in the place of what is not said.
+func (l ServerLimits) withDefaults() ServerLimits {
+	l.Subscriptions = cmp.Or(l.Subscriptions, defaultSubscriptions)
+	l.SubscriptionScopes = min(cmp.Or(l.SubscriptionScopes, defaultSubscriptionScopes), MostScopes)
+	l.SubscribedScopes = cmp.Or(l.SubscribedScopes, defaultSubscribedScopes)
+	l.SubscriptionBytes = cmp.Or(l.SubscriptionBytes, defaultSubscriptionBytes)
+	return l
 }
 
 // Server answers readers and writers of one Store.
@@ -57,6 +72,7 @@
 	lists      float64 // that may be asked for now
 	listsAt    time.Time
 	random     *rand.Rand
+	subscribed *subscriptions
 
 	keeper  *keeper        // makes changes last; nil: nothing does
 	agreed  *agreed        // of a list that a group agrees on; else nil
@@ -72,7 +88,8 @@
 
 // NewWriter serves a store of its own at an address that others know.
 func NewWriter(self string, store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
-	return &Server{self: self, limits: limits, store: store, began: began, news: make(chan struct{}), random: random,
+	limits = limits.withDefaults()
+	return &Server{self: self, limits: limits, store: store, subscribed: newSubscriptions(), began: began, news: make(chan struct{}), random: random,
 		lists: limits.Lists, listsAt: began, leaving: make(chan struct{}), ended: make(chan struct{})}
 }
 
@@ -80,7 +97,7 @@
 func (s *Server) Retune(limits Limits, serves ServerLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store.limits, s.limits = limits, serves
+	s.store.limits, s.limits = limits, serves.withDefaults()
 }
 
 func (s *Server) now() time.Duration { return time.Since(s.began) }
@@ -182,6 +199,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, s.read)
+	mux.HandleFunc("POST "+SubscriptionsPath, s.subscribe)
 	mux.HandleFunc("GET "+FencePath, s.fenceHandler)
 	mux.HandleFunc("POST "+FencePath, s.fenceHandler)
 	for pattern, f := range map[string]func(id string, r *http.Request) (Written, error){
@@ -223,6 +241,8 @@
 	Zone        string    `json:"zone"`
 	MachineType string    `json:"machineType"`
 	Cell        int       `json:"cell"`
+	Service     string    `json:"service"`
+	Region      string    `json:"region"`
 	Lifecycle   Lifecycle `json:"lifecycle"`
 	Weight      *float64  `json:"weight"`
 	StartedAtMs *int64    `json:"startedAtMs"`
@@ -254,7 +274,7 @@
 		return Written{}, err
 	}
 	i := Instance{ID: id, HostPort: c.HostPort, Zone: c.Zone, MachineType: c.MachineType, Cell: c.Cell,
-		Lifecycle: c.Lifecycle, Weight: 1, StartedAtMs: *c.StartedAtMs}
+		Service: c.Service, Region: c.Region, Lifecycle: c.Lifecycle, Weight: 1, StartedAtMs: *c.StartedAtMs}
 	if c.Weight != nil {
 		i.Weight = *c.Weight
 	}
@@ -315,62 +335,110 @@
 	return n, nil
 }
 
-// read answers with the whole list, or waits for what is new.
+// read answers with the whole list, or waits for what is new; both in the scopes that the
+// call names, if it does.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	since, err := number(r, "since", 0, mostStart)
-	wait, waitErr := number(r, "timeout_ms", 0, longestWait.Milliseconds())
-	if err = errors.Join(err, waitErr); err != nil {
+	question, wait, err := s.question(r)
+	if err != nil {
 		s.fail(w, err)
 		return
 	}
-	history := r.URL.Query().Get("history")
-	if since < 0 {
-		wait = 0
-	}
-	body, name, epoch, err := s.await(r.Context(), since, history, time.Duration(max(wait, 0))*time.Millisecond)
+	a, err := s.await(r.Context(), question, wait)
 	if err != nil {
 		s.fail(w, err)
 		return
 	}
-	w.Header().Set(HistoryHeader, name)
-	w.Header().Set(EpochHeader, strconv.FormatInt(epoch, 10))
+	w.Header().Set(HistoryHeader, a.history)
+	w.Header().Set(EpochHeader, strconv.FormatInt(a.epoch, 10))
+	if question.Scopes != nil {
+		w.Header().Set(SubscriptionHeader, question.Scopes.ID())
+	}
 	if s.age != nil && s.writer.Load() != nil {
 		w.Header().Set(AgeHeader, strconv.FormatInt(s.age(), 10))
 	}
-	s.write(w, body)
+	s.write(w, a.body)
+}
+
+// question reads what a call asks for, and how long it may wait.
+func (s *Server) question(r *http.Request) (question ScopedRead, wait time.Duration, err error) {
+	since, err := number(r, "since", 0, mostStart)
+	waitMs, waitErr := number(r, "timeout_ms", 0, longestWait.Milliseconds())
+	if err = errors.Join(err, waitErr); err != nil {
+		return question, 0, err
+	}
+	query := r.URL.Query()
+	question = ScopedRead{Since: since, History: query.Get("history")}
+	if query.Has(subscriptionParameter) {
+		if question.Scopes, err = s.subscription(query.Get(subscriptionParameter)); err != nil {
+			return question, 0, err
+		}
+		question.Held = question.Scopes
+		if query.Has(heldParameter) {
+			if question.Held, err = s.subscription(query.Get(heldParameter)); err != nil {
+				return question, 0, err
+			}
+		}
+	}
+	if since < 0 || question.joins() {
+		return question, 0, nil // it is answered at once
+	}
+	return question, time.Duration(max(waitMs, 0)) * time.Millisecond, nil
+}
+
+// subscription returns the scopes that were named under an id.
+func (s *Server) subscription(id string) (*ScopeSet, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if set := s.subscribed.get(id); set != nil {
+		return set, nil
+	}
+	return nil, refuse(http.StatusNotFound, "subscription: %.80q is not known here; name its scopes at %s", id, SubscriptionsPath)
 }
 
-// await waits for an answer.
-func (s *Server) await(ctx context.Context, since int64, history string, wait time.Duration) (body []byte, name string, epoch int64, err error) {
+// subscribe takes the scopes that a reader names.
+func (s *Server) subscribe(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	limits := s.limits
+	s.mu.Unlock()
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(readWait))
+	set, err := readSubscription(r.Body, limits.SubscriptionBytes, limits.SubscriptionScopes)
+	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of its body may still come
+		s.fail(w, err)
+		return
+	}
+	control.SetReadDeadline(time.Time{})
+	s.mu.Lock()
+	s.subscribed.add(set, limits.Subscriptions, limits.SubscribedScopes)
+	s.mu.Unlock()
+	s.write(w, fmt.Appendf(nil, `{"subscription":%q}`+"\n", set.ID()))
+}
+
+// awaited is an answer and where it comes from.
+type awaited struct {
+	body    []byte
+	history string
+	epoch   int64
+}
+
+// await waits for an answer. A reader of scopes that waits looks at each change once: as
+// long as none concerns it, it is as good as at the version that it has looked at.
+func (s *Server) await(ctx context.Context, q ScopedRead, wait time.Duration) (awaited, error) {
 	if wait > 0 {
 		defer s.figures.watchers.Add(-1)
 		if most := s.mostWatchers(); s.figures.watchers.Add(1) > int64(most) {
-			return nil, "", 0, refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
+			return awaited{}, refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
 		}
 	}
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	leaving := s.leaving
 	for last := wait <= 0; ; {
-		s.mu.Lock()
-		a, err := s.store.Read(s.now(), since, history)
-		if fenced := s.refuseFenced(); fenced != nil {
-			err = fenced
+		found, news, err := s.look(&q, last)
+		if err != nil || found.body != nil {
+			return found, err
 		}
-		name, epoch, news := s.store.history, s.store.epoch, s.news
-		switch ahead := s.writer.Load() != nil && since > s.store.version && history == name; {
-		case ahead && !last: // a follower will know by and by
-		case err != nil:
-			s.mu.Unlock()
-			return nil, "", 0, err
-		case a.Whole && !s.mayList():
-			s.mu.Unlock()
-			return nil, "", 0, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
-		case !a.Nothing || last:
-			s.mu.Unlock()
-			return a.Body, name, epoch, nil
-		}
-		s.mu.Unlock()
 		select {
 		case <-news:
 		case <-over.C:
@@ -380,25 +448,55 @@
 			leaving = nil
 			over.Reset(s.between(0, leaveWithin))
 		case <-ctx.Done():
-			return nil, "", 0, ctx.Err()
+			return awaited{}, ctx.Err()
 		}
 	}
 }
 
+// look looks for an answer once. Without a body there is nothing new yet, and the channel is
+// closed when there may be; the question is then moved on to the version that was looked
+// at. The last look always has an answer.
+func (s *Server) look(q *ScopedRead, last bool) (found awaited, news <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	fenced := s.refuseFenced()
+	if q.Scopes != nil && !last && fenced == nil && s.store.readable(now) == nil && s.store.Quiet(*q) {
+		q.Since = s.store.version
+		return awaited{}, s.news, nil
+	}
+	a, err := s.store.answer(now, *q)
+	if fenced != nil {
+		err = fenced
+	}
+	switch ahead := s.writer.Load() != nil && q.Since > s.store.version && q.History == s.store.history; {
+	case ahead && !last: // a follower will know by and by
+	case err != nil:
+		return awaited{}, nil, err
+	case a.Whole && !s.mayList(s.store.listCost(*q)):
+		return awaited{}, nil, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
+	case !a.Nothing || last:
+		return awaited{a.Body, s.store.history, s.store.epoch}, nil, nil
+	}
+	return awaited{}, s.news, nil
+}
+
 func (s *Server) mostWatchers() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.limits.Watchers
 }
 
-// mayList bounds the whole lists, of which each costs as much as many changes.
-func (s *Server) mayList() bool {
+// mayList bounds the whole lists, of which each costs as much as many changes. The list of
+// scopes counts as the part of the instances that has to be looked at for it, so that a
+// thousand readers of small services are let in where a hundred of everything are.
+func (s *Server) mayList(cost float64) bool {
 	now := time.Now()
 	s.lists = min(s.lists+now.Sub(s.listsAt).Seconds()*s.limits.Lists, s.limits.Lists)
-	if s.listsAt = now; s.lists < 1 {
+	if s.listsAt = now; s.lists < cost {
 		return false
 	}
-	s.lists--
+	s.lists -= cost
 	return true
 }
 
--- /dev/null
+++ b/internal/registry/services.go
@@ -0,0 +1,107 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+)
+
+// defaultEmptyServices is how many services without instances are remembered where
+// Limits do not say.
+const defaultEmptyServices = 4096
+
+// serviceIndex finds the instances of a service, and knows the services that have had
+// instances and have none now. A service that is not in it is unknown. Instances that
+// name no service are not in it.
+type serviceIndex struct {
+	known map[string]*indexedService
+	empty int   // services without instances
+	order int64 // counts the services that became empty
+}
+
+// indexedService is one service of the index.
+type indexedService struct {
+	instances map[string]*entry
+	emptied   int64 // its place among those that became empty
+}
+
+func newServiceIndex() *serviceIndex { return &serviceIndex{known: map[string]*indexedService{}} }
+
+// add puts an entry into its service.
+func (x *serviceIndex) add(e *entry) {
+	if e.Service == "" {
+		return
+	}
+	of := x.known[e.Service]
+	switch {
+	case of == nil:
+		of = &indexedService{instances: map[string]*entry{}}
+		x.known[e.Service] = of
+	case len(of.instances) == 0:
+		x.empty--
+	}
+	of.instances[e.ID] = e
+}
+
+// remove takes an entry out of its service, which stays known.
+func (x *serviceIndex) remove(e *entry) {
+	of := x.known[e.Service]
+	if of == nil || of.instances[e.ID] == nil {
+		return
+	}
+	delete(of.instances, e.ID)
+	if len(of.instances) == 0 {
+		x.markEmpty(of)
+	}
+}
+
+func (x *serviceIndex) markEmpty(of *indexedService) {
+	x.order++
+	of.emptied = x.order
+	x.empty++
+}
+
+// mention makes a service known that has had instances.
+func (x *serviceIndex) mention(name string) {
+	if name == "" || x.known[name] != nil {
+		return
+	}
+	of := &indexedService{instances: map[string]*entry{}}
+	x.known[name] = of
+	x.markEmpty(of)
+}
+
+// clear takes all instances out. The services stay known.
+func (x *serviceIndex) clear() {
+	for _, name := range slices.Sorted(maps.Keys(x.known)) {
+		if of := x.known[name]; len(of.instances) > 0 {
+			clear(of.instances)
+			x.markEmpty(of)
+		}
+	}
+}
+
+// trim forgets the services that have been empty for the longest, down to a bound.
+func (x *serviceIndex) trim(most int) {
+	if x.empty <= most {
+		return
+	}
+	for _, name := range x.emptyNames()[:x.empty-most] {
+		delete(x.known, name)
+		x.empty--
+	}
+}
+
+// emptyNames returns the services without instances, the first to become empty first.
+func (x *serviceIndex) emptyNames() []string {
+	if x.empty == 0 {
+		return nil
+	}
+	names := make([]string, 0, x.empty)
+	for name, of := range x.known {
+		if len(of.instances) == 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return int(x.known[a].emptied - x.known[b].emptied) })
+	return names
+}
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -1,14 +1,12 @@
 package registry
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -18,6 +16,8 @@
 	Instances    int // on the list
 	History      int // changes
 	HistoryBytes int // of their encoding
+
+	EmptyServices int // services without instances that are remembered; 0: defaultEmptyServices
 }
 
 const (
@@ -51,11 +51,14 @@
 	entries map[string]*entry
 	gone    map[string]change // of the instances in changes that are Gone, the last
 
+	services *serviceIndex // of the entries
+
 	changes []change // the oldest first
 	bytes   int      // of their texts
 	from    int64    // the version that changes follow
 
 	joined map[int64][]byte // answers at this version, by the version asked from; -1: the whole list
+	scoped scopedAnswers    // the same for scopes
 
 	staging bool // changes wait until they last
 	staged  []stagedChange
@@ -79,6 +82,9 @@
 	Pauses         int64 // times that the service stood still, and all leases began anew
 	Encoded        int64 // changes
 	Joined         int64 // answers put together
+	Scoped         int64 // of them, answers to scopes
+	Services       int   // known
+	EmptyServices  int   // of them, those without instances
 }
 
 type entry struct {
@@ -93,7 +99,22 @@
 	id      string
 	started int64
 	drained bool
+	gone    bool
 	text    []byte
+
+	at Placement // of the instance as the text has it
+	// left are the other placements that the instance had since the version before,
+	// which is several changes ago where a follower was told of them at once.
+	left []Placement
+}
+
+// size is what a change counts for in the bytes of the history.
+func (c *change) size() int {
+	bytes := len(c.text)
+	for _, p := range c.left {
+		bytes += len(p.Service) + len(p.Region) + len(p.Zone)
+	}
+	return bytes
 }
 
 // Written is what a call came to, and how the instance stands then.
@@ -121,7 +142,30 @@
 
 func newStore(limits Limits, now time.Duration) *Store {
 	return &Store{limits: limits, entries: map[string]*entry{}, gone: map[string]change{}, joined: map[int64][]byte{},
-		pending: map[string]bool{}, ticked: now}
+		pending: map[string]bool{}, services: newServiceIndex(), ticked: now}
+}
+
+// enter puts an entry on the list, in place of the one of this id.
+func (s *Store) enter(e *entry) {
+	before := s.entries[e.ID]
+	s.entries[e.ID] = e
+	s.services.add(e)
+	if before != nil && before.Service != e.Service {
+		s.services.remove(before)
+	}
+}
+
+// withdraw takes an entry off the list.
+func (s *Store) withdraw(id string) {
+	if e := s.entries[id]; e != nil {
+		delete(s.entries, id)
+		s.services.remove(e)
+	}
+}
+
+// forgetServices bounds the services without instances that are remembered.
+func (s *Store) forgetServices() {
+	s.services.trim(cmp.Or(s.limits.EmptyServices, defaultEmptyServices))
 }
 
 // forget drops the history: what there was before is no list that anybody may
@@ -129,30 +173,60 @@
 func (s *Store) forget() {
 	s.changes, s.bytes, s.from = nil, 0, s.version
 	clear(s.gone)
+	s.dropAnswers()
 }
 
-// put takes a change in under its version.
-func (s *Store) put(i Instance, version int64, now time.Duration) error {
+// put takes a change in under its version. Meanwhile the instance has been at some
+// other placements, or at none.
+func (s *Store) put(i Instance, version int64, now time.Duration, meanwhile []Placement) error {
 	text, err := json.Marshal(i)
 	if err != nil {
 		return err
 	}
 	s.stats.Encoded++
-	s.putText(i, text, version, now)
+	s.putText(i, text, version, now, meanwhile)
 	return nil
 }
 
 // putText takes a change in whose text there is.
-func (s *Store) putText(i Instance, text []byte, version int64, now time.Duration) {
+func (s *Store) putText(i Instance, text []byte, version int64, now time.Duration, meanwhile []Placement) {
+	c := newChange(i, version, text)
+	if e := s.entries[i.ID]; e != nil {
+		c.left = appendLeft(c.left, e.placement(), c.at)
+	}
+	for _, p := range meanwhile {
+		c.left = appendLeft(c.left, p, c.at)
+		s.services.mention(p.Service)
+	}
 	s.version = version
-	clear(s.joined)
+	s.dropAnswers()
 	if i.Lifecycle == Gone {
-		delete(s.entries, i.ID)
+		s.withdraw(i.ID)
+		s.services.mention(i.Service)
 	} else {
-		s.entries[i.ID] = &entry{Instance: i, version: version, text: text, expires: now + s.limits.Lease}
+		s.enter(&entry{Instance: i, version: version, text: text, expires: now + s.limits.Lease})
 		delete(s.gone, i.ID)
 	}
-	s.remember(change{version, i.ID, i.StartedAtMs, i.Drained, text}, i.Lifecycle == Gone)
+	s.remember(c, c.gone)
+}
+
+func newChange(i Instance, version int64, text []byte) change {
+	return change{version: version, id: i.ID, started: i.StartedAtMs, drained: i.Drained, gone: i.Lifecycle == Gone, text: text, at: i.placement()}
+}
+
+// appendLeft adds a placement that was left for another, once. One without a service is
+// in no scope.
+func appendLeft(left []Placement, from, to Placement) []Placement {
+	if from.Service == "" || from == to || slices.Contains(left, from) {
+		return left
+	}
+	return append(left, from)
+}
+
+// dropAnswers forgets the answers of an earlier version.
+func (s *Store) dropAnswers() {
+	clear(s.joined)
+	s.scoped.clear()
 }
 
 // remember puts a change into the history, which forgets the oldest for it.
@@ -161,12 +235,12 @@
 		s.gone[c.id] = c
 	}
 	s.changes = append(s.changes, c)
-	s.bytes += len(c.text)
+	s.bytes += c.size()
 	for len(s.changes) > s.limits.History || s.bytes > s.limits.HistoryBytes && len(s.changes) > 0 {
 		old := s.changes[0]
 		s.changes[0] = change{}
 		s.changes = s.changes[1:]
-		s.bytes -= len(old.text)
+		s.bytes -= old.size()
 		s.from = old.version
 		if s.gone[old.id].version == old.version {
 			delete(s.gone, old.id)
@@ -182,7 +256,9 @@
 	version := s.version + int64(len(s.staged)) + 1
 	done := Written{version, i.Lifecycle}
 	if !s.staging {
-		return done, s.put(i, version, now)
+		err := s.put(i, version, now, nil)
+		s.forgetServices()
+		return done, err
 	}
 	text, err := json.Marshal(i)
 	if err != nil {
@@ -373,8 +449,8 @@
 // Read answers one who asks for the whole list (since below 0), or for what has
 // changed since a version of a history. An empty name stands for any history.
 func (s *Store) Read(now time.Duration, since int64, history string) (Answer, error) {
-	if now < s.gathering || s.history == "" {
-		return Answer{}, refuse(http.StatusServiceUnavailable, "the list is not whole yet")
+	if err := s.readable(now); err != nil {
+		return Answer{}, err
 	}
 	same := history == "" || history == s.history
 	switch {
@@ -386,29 +462,44 @@
 	return Answer{Body: s.join(since), Nothing: since == s.version}, nil
 }
 
+// readable refuses readers as long as the list is not whole.
+func (s *Store) readable(now time.Duration) error {
+	if now < s.gathering || s.history == "" {
+		return refuse(http.StatusServiceUnavailable, "the list is not whole yet")
+	}
+	return nil
+}
+
 // join puts an answer together, once for all that ask from the same version.
 func (s *Store) join(since int64) []byte {
 	if body, there := s.joined[since]; there {
 		return body
 	}
 	var texts [][]byte
+	var more []answerPart
 	if since < 0 {
 		for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 			texts = append(texts, s.entries[id].text)
 		}
+		more = []answerPart{{"emptyServices", s.services.emptyNames()}}
 	} else {
-		seen := map[string]bool{}
+		seen := map[string]int{} // where the last change of an instance is
+		var moved movedInstances
 		for n := len(s.changes) - 1; n >= 0 && s.changes[n].version > since; n-- {
-			if c := s.changes[n]; !seen[c.id] {
-				seen[c.id] = true
+			c := &s.changes[n]
+			last, there := seen[c.id]
+			if !there {
+				last = n
+				seen[c.id] = n
 				texts = append(texts, c.text)
 			}
+			moved.add(c, s.changes[last].at)
 		}
 		slices.Reverse(texts)
+		more = []answerPart{{"moved", moved.sorted()}}
 	}
 	s.stats.Joined++
-	body := []byte(`{"generation":` + strconv.FormatInt(s.version, 10) + `,"reset":` + strconv.FormatBool(since < 0) + `,"instances":[`)
-	body = append(append(body, bytes.Join(texts, []byte(","))...), "]}\n"...)
+	body := encodeAnswer(s.version, since < 0, texts, more)
 	if len(s.joined) >= mostJoined {
 		clear(s.joined)
 	}
@@ -423,15 +514,27 @@
 func (s *Store) Copy(now time.Duration, l Listing, history string) error {
 	if l.Reset {
 		clear(s.entries)
+		s.services.clear()
+	}
+	if history != s.history {
+		s.services = newServiceIndex()
 	}
 	s.history = history
+	meanwhile := map[string][]Placement{}
+	for _, moved := range l.Moved {
+		meanwhile[moved.ID] = moved.From
+	}
+	for _, name := range l.EmptyServices {
+		s.services.mention(name)
+	}
 	for _, i := range l.Instances {
-		if err := s.put(i, l.Generation, now); err != nil {
+		if err := s.put(i, l.Generation, now, meanwhile[i.ID]); err != nil {
 			return err
 		}
 	}
 	s.version = l.Generation
-	clear(s.joined)
+	s.forgetServices()
+	s.dropAnswers()
 	if l.Reset {
 		s.forget()
 	}
@@ -442,5 +545,6 @@
 func (s *Store) Stats() Stats {
 	st := s.stats
 	st.Version, st.Instances, st.History, st.Bytes = s.version, len(s.entries), len(s.changes), s.bytes
+	st.Services, st.EmptyServices = len(s.services.known), s.services.empty
 	return st
 }
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -191,7 +191,7 @@
 					}
 					for _, kept := range s.changes {
 						if kept.version > again.version {
-							step(Written{}, again.Restore(0, Saved{Change: &SavedInstance{kept.version, kept.text}}))
+							step(Written{}, again.Restore(0, Saved{Change: &SavedInstance{Version: kept.version, Instance: kept.text}}))
 						}
 					}
 					s = again
