--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -118,7 +118,10 @@
 		}
 		if r.Change.Version <= s.version {
 			// Of a snapshot, which has what it led to beside it.
-			if r.Change.Version <= s.from {
+			if r.Change.Version == s.from {
+				return nil // a follower's; earlier builds kept some of a version that was forgotten
+			}
+			if r.Change.Version < s.from {
 				return fmt.Errorf("version %d is not behind %d", r.Change.Version, s.from)
 			}
 			c := newChange(i, r.Change.Version, r.Change.Instance)
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -229,14 +229,15 @@
 	s.scoped.clear()
 }
 
-// remember puts a change into the history, which forgets the oldest for it.
+// remember puts a change into the history, which forgets the oldest for it, and with one
+// all of its version: a follower has several, and nobody goes on from between them.
 func (s *Store) remember(c change, gone bool) {
 	if gone {
 		s.gone[c.id] = c
 	}
 	s.changes = append(s.changes, c)
 	s.bytes += c.size()
-	for len(s.changes) > s.limits.History || s.bytes > s.limits.HistoryBytes && len(s.changes) > 0 {
+	for len(s.changes) > 0 && (len(s.changes) > s.limits.History || s.bytes > s.limits.HistoryBytes || s.changes[0].version <= s.from) {
 		old := s.changes[0]
 		s.changes[0] = change{}
 		s.changes = s.changes[1:]
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -402,6 +403,48 @@
 	}
 }
 
+// A follower forgets a version of several changes as one, so that its snapshot can be read
+// back, and reads one of before, which has some of them.
+func TestFollowersHistoryAtItsBound(t *testing.T) {
+	limits := testLimits
+	limits.History = 3
+	s := newStore(limits, 0)
+	if err := s.Copy(0, whole(10), "h"); err != nil {
+		t.Fatal(err)
+	}
+	for n, changed := range []Listing{{Generation: 12, Instances: []Instance{inst("a", 1), inst("b", 1)}}, {Generation: 14, Instances: []Instance{inst("c", 1), inst("d", 1)}},
+		{Generation: 20, Instances: []Instance{inst("a", 2), inst("b", 2), inst("c", 2), inst("d", 2), inst("e", 2)}}} {
+		if err := s.Copy(0, changed, "h"); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range s.changes {
+			if c.version <= s.from {
+				t.Errorf("copy %d: version %d is kept, and changes are from %d on", n, c.version, s.from)
+			}
+		}
+		again := restarted(t, s, 0)
+		if again.version != s.version || again.from != s.from || len(again.changes) != len(s.changes) || again.bytes != s.bytes {
+			t.Errorf("copy %d: %+v after a restart, %+v before", n, again.Stats(), s.Stats())
+		}
+	}
+	text, err := json.Marshal(inst("a", 2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := newStore(limits, 0)
+	for _, r := range []Saved{{Begin: &Begin{History: "h", Version: 20, From: 14}}, {Change: &SavedInstance{Version: 14, Instance: text}}, {Change: &SavedInstance{Version: 20, Instance: text}}} {
+		if err := before.Restore(0, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(before.changes) != 1 || before.from != 14 {
+		t.Errorf("%d changes from %d on", len(before.changes), before.from)
+	}
+	if err := before.Restore(0, Saved{Change: &SavedInstance{Version: 13, Instance: text}}); err == nil {
+		t.Error("a change from before the history was taken")
+	}
+}
+
 // world is a writer, a follower, readers of both, and what the list was at each
 // version of each history.
 type world struct {
