Readers leave a list service that hears nothing from its writer within 6 s

Seen: with one of two followers cut off from the writer, readers went on with it and held a backend as Ready 6 s after its drain (TestScopedReadersAreNotified, "follower hears nothing from the writer" and "follower's calls never arrive"). A frozen follower was left after 5.1 s, one that readers hear nothing from after 5.9 s. Excluded: relays and followers alone, as the other follower had the change within 0.1 s.

Cause: a follower counted as stale at 10 s (feed.go, staleAge), and a silent watch was waited for 4 s and 1 s more (client.go). A follower of a follower told its own age alone.

Change: watches of readers wait 1.5 s, those of followers 1 s, half a second more is allowed; a list is stale at 3 s; a follower's age includes that of the answer that it copied. A copy kept by an earlier process still counts as 10 s old at least.

--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -20,8 +20,14 @@
 )
 
 const (
-	watchWait   = 4 * time.Second // how long a watch may stand open
-	watchGrace  = time.Second     // and how long after that its answer may take
+	// watchWait is how long a reader's watch may stay open, and followerWatchWait how long
+	// that of a follower may. Both are part of the sum of docs/design.md that keeps a reader
+	// from missing a change for 6 s: a follower answers at least so often, or its age tells
+	// its readers that it hears nothing from its writer.
+	watchWait         = 1500 * time.Millisecond
+	followerWatchWait = time.Second
+
+	watchGrace  = 500 * time.Millisecond // how much longer than that the answer may take
 	listTimeout = 3 * time.Second
 	mostAnswer  = 64 << 20         // bytes
 	mostReply   = 4 << 10          // bytes of an answer that is no list
@@ -39,7 +45,8 @@
 	heard func(Told)
 	http  *http.Client
 
-	heardAt atomic.Int64 // Unix nanoseconds of the last answer; 0: none
+	watchWait time.Duration
+	heardAt   atomic.Int64 // Unix nanoseconds at which the last answer was current; 0: none
 
 	mu       sync.Mutex // of what follows
 	wanted   []Scope
@@ -58,7 +65,7 @@
 
 // NewClient calls heard, one at a time, with each answer that tells something new.
 func NewClient(addresses []string, random *rand.Rand, heard func(Told)) *Client {
-	return &Client{feed: NewFeed(addresses, random), heard: heard, rescope: make(chan struct{}, 1),
+	return &Client{feed: NewFeed(addresses, random), heard: heard, rescope: make(chan struct{}, 1), watchWait: watchWait,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
@@ -174,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	c.heardAt.Store(time.Now().UnixNano())
+	c.heardAt.Store(time.Now().Add(-a.age).UnixNano())
 	unknown := c.feed.Unknown()
 	if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since || !slices.Equal(before, unknown) {
 		c.heard(Told{a.listing, news, a.history, a.epoch, unknown})
@@ -182,7 +189,8 @@
 	return nil
 }
 
-// Age is how long ago the last answer came; below 0: none has.
+// Age is how old the list may be: how long ago the last answer came and, of a follower's
+// answer, how old that was. Below 0: none has come.
 func (c *Client) Age() time.Duration {
 	at := c.heardAt.Load()
 	if at == 0 {
@@ -195,7 +203,7 @@
 func (c *Client) ask(ctx context.Context, a Ask) answer {
 	limit := listTimeout
 	if a.Waits() {
-		limit = watchWait + watchGrace
+		limit = c.watchWait + watchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -218,7 +226,7 @@
 
 // list asks for a list, and says whether the service knows the scopes.
 func (c *Client) list(ctx context.Context, a Ask) (got answer, known bool) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+Path+a.query(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+Path+a.query(c.watchWait), nil)
 	if err != nil {
 		return answer{err: err}, true
 	}
@@ -256,16 +264,12 @@
 	return got, true
 }
 
-// wait is how long the service may wait for something new.
-func (a Ask) wait() time.Duration {
+// query is the part of a call's address that says what is asked for, and for how long the
+// service may wait for it where the call waits.
+func (a Ask) query(wait time.Duration) string {
 	if !a.Waits() {
-		return 0
+		wait = 0
 	}
-	return watchWait
-}
-
-// query is the part of a call's address that says what is asked for.
-func (a Ask) query() string {
 	var parts []string
 	if a.Scopes != nil {
 		parts = append(parts, subscriptionParameter+"="+a.Scopes.ID())
@@ -274,7 +278,7 @@
 		if a.Held != nil && !a.Held.same(a.Scopes) {
 			parts = append(parts, heldParameter+"="+a.Held.ID())
 		}
-		parts = append(parts, fmt.Sprintf("since=%d&timeout_ms=%d&history=%s", a.Since, a.wait().Milliseconds(), url.QueryEscape(a.History)))
+		parts = append(parts, fmt.Sprintf("since=%d&timeout_ms=%d&history=%s", a.Since, wait.Milliseconds(), url.QueryEscape(a.History)))
 	}
 	if len(parts) == 0 {
 		return ""
--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -13,7 +13,7 @@
 	mostPause   = 15 * time.Second
 	stepPause   = 200 * time.Millisecond // at most, before the next address of a round
 	mostPast    = 8                      // histories that were left, which are not taken again
-	staleAge    = 10 * time.Second       // of a follower, from which on another address is tried
+	staleAge    = 3 * time.Second        // of a list, from which on another address is tried; two followers in a row stay below
 	mostAdvised = time.Minute            // of a pause that a service asks for
 )
 
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// keptCopyAge is the least age that a follower tells of the copy that an earlier process
+// kept, as it does not know how long ago that was. It is above staleAge.
+const keptCopyAge = 10 * time.Second
+
 // Follower copies a writer by its watch and serves reads. It never writes, until
 // an operator promotes it.
 type Follower struct {
@@ -32,12 +36,13 @@
 	}
 	f := &Follower{Server: NewWriter(self, store, serves, began, random), moves: make(chan []string), source: writer, promoted: make(chan struct{})}
 	f.client = NewClient([]string{writer}, rand.New(rand.NewPCG(random.Uint64(), 1)), f.heard)
+	f.client.watchWait = followerWatchWait
 	f.age = func() int64 {
 		switch age := f.client.Age(); {
 		case age >= 0:
 			return age.Milliseconds()
 		case kept != nil:
-			return (staleAge + f.now()).Milliseconds() // at least; what was before this process nobody knows
+			return (keptCopyAge + f.now()).Milliseconds()
 		}
 		return -1
 	}
