--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -180,7 +180,7 @@
 // a holder has taken down counts as out, no grant adds what does not fit, later permits
 // have higher numbers, and a snapshot goes on as its original. Planted defects show.
 func TestPermits(t *testing.T) {
-	play := func(t *testing.T, seed uint64, units, steps int, defect string) (err error, f *fleet) {
+	play := func(t *testing.T, seed uint64, units, steps int, defect string) (f *fleet, err error) {
 		f = newFleet(t, seed, units, defect)
 		f.rules()
 		for _, u := range f.units {
@@ -192,11 +192,11 @@
 				next := New()
 				for _, line := range f.s.Save() {
 					if err := next.Restore(line); err != nil {
-						return err, f
+						return f, err
 					}
 				}
 				if !bytes.Equal(bytes.Join(next.Save(), nil), bytes.Join(f.s.Save(), nil)) {
-					return fmt.Errorf("a snapshot is not as its original"), f
+					return f, fmt.Errorf("a snapshot is not as its original")
 				}
 				f.s = next
 			}
@@ -216,15 +216,15 @@
 				}
 			}
 			if err := f.wrong(); err != nil {
-				return err, f
+				return f, err
 			}
 		}
-		return nil, f
+		return f, nil
 	}
 	for _, c := range []struct{ units, steps, seeds int }{{9, 4000, 40}, {30, 4000, 20}, {1000, 10_000, 2}} {
 		asked, given, taken := 0, 0, 0
 		for seed := range uint64(c.seeds) {
-			err, f := play(t, seed, c.units, c.steps, "")
+			f, err := play(t, seed, c.units, c.steps, "")
 			if err != nil {
 				t.Fatalf("%d units, seed %d: %v", c.units, seed, err)
 			}
@@ -238,7 +238,7 @@
 	for _, defect := range []string{"permits end with their holder", "permits end when they are given back", "any sight ends a permit that was given back"} {
 		found := 0
 		for seed := range uint64(10) {
-			if err, _ := play(t, seed, 9, 4000, defect); err != nil {
+			if _, err := play(t, seed, 9, 4000, defect); err != nil {
 				found++
 			}
 		}
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -86,8 +86,6 @@
 	served  atomic.Int64
 }
 
-func (b *registered) move(writer string) { b.mu.Lock(); defer b.mu.Unlock(); b.writer = writer }
-
 func (b *registered) call(method, path, body string) int {
 	b.mu.Lock()
 	url := "http://" + b.writer + registry.Path + "/" + b.id + path
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -161,9 +161,8 @@
 // a byte now and then.
 type clientBody struct {
 	body    io.Reader
-	chunks  *chunkedReader // that body is, or nil
-	length  int64          // or -1
-	most    int64          // bytes; 0: any number
+	length  int64 // or -1
+	most    int64 // bytes; 0: any number
 	control *http.ResponseController
 	pace    pace
 	came    func() uint64 // bytes of bodies that have come on the connection; nil: not told
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -551,7 +551,7 @@
 		}
 		e.wg.Go(func() {
 			if awaitReady(e.ctx, e.http, e.gateways[a.Gateway], "http://"+e.place.gateway(a.Gateway)+"/health/ready") == nil {
-				e.post(world.Ready{Gateway: a.Gateway})
+				e.post(world.Ready(a))
 			}
 		})
 	case world.Kill:
--- a/internal/play/processes.go
+++ b/internal/play/processes.go
@@ -26,11 +26,10 @@
 	dir     string // its configuration, its log and its TMPDIR
 	use     results.Gateway
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{} // closed when the present life has ended
-	exit    error
-	started bool
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{} // closed when the present life has ended
+	exit  error
 }
 
 // starter starts processes, all from one thread: the system kills them when the
@@ -136,18 +135,6 @@
 	return true
 }
 
-// gone says whether the present life has ended.
-func (p *process) gone() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // lastWords are the end of what the process wrote.
 func (p *process) lastWords() string {
 	text, err := os.ReadFile(filepath.Join(p.dir, "log"))
--- a/internal/registry/instance.go
+++ b/internal/registry/instance.go
@@ -97,7 +97,7 @@
 	}
 	for _, c := range []byte(id) {
 		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.' || c == ':') {
-			return fmt.Errorf("instanceId: %q is not of letters, digits and -_.:", id)
+			return fmt.Errorf("instanceId: %q is not of letters, digits and any of '-_.:'", id)
 		}
 	}
 	return nil
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -46,15 +46,14 @@
 
 // work is an attempt at a backend.
 type work struct {
-	number  uint64
-	id      uint64
-	conn    *conn // nil once the gateway has given it up
-	class   int
-	key     string
-	cost    float64
-	until   float64 // of the backend's done, when it is served
-	entered bool
-	reply   Reply
+	number uint64
+	id     uint64
+	conn   *conn // nil once the gateway has given it up
+	class  int
+	key    string
+	cost   float64
+	until  float64 // of the backend's done, when it is served
+	reply  Reply
 }
 
 type jobs []*work
--- a/internal/world/double_test.go
+++ b/internal/world/double_test.go
@@ -177,7 +177,7 @@
 			d := h.doubles[a.Gateway]
 			d.alive = true
 			h.tell(d, h.w.Entries())
-			h.step(Ready{a.Gateway})
+			h.step(Ready(a))
 		})
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -175,7 +175,6 @@
 	known          float64 // the window's total as last seen
 	met            bool    // the counter has told of it
 	dryUntil       float64
-	excess         float64
 	owed           float64 // spent in this window and not told
 	inCalls        int     // calls out
 	asking         int     // of these for units
