Split internal/gateway/backend.go by job

Declarations move unchanged, apart from the constant block, whose entries go to the files that use them; the doc comments are rewritten.

--- /dev/null
+++ b/internal/gateway/connection.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+// backendConn is a connection to a backend. It carries one request at a time.
+type backendConn struct {
+	net.Conn
+	raw  syscall.RawConn    // to peek at the socket; nil if the connection has none
+	look func(uintptr) bool // peeks at the socket and sets seen
+	seen error              // result of the last look
+	left *io.LimitedReader  // bytes that the response may still have, headers included
+	r    *bufio.Reader      // reads from left, which reads from the connection
+	w    *bufio.Writer
+	read framing       // checks that the framing of the response is unambiguous
+	home *target       // the pool that the connection belongs to
+	idle time.Time     // since when it has been idle; zero: in use
+	uses int           // requests so far, the present one included
+	rest time.Duration // how long it was idle before the present request
+}
+
+// newBackendConn wraps a connection that belongs to the pool home.
+func newBackendConn(conn net.Conn, home *target) *backendConn {
+	c := &backendConn{Conn: conn, w: bufio.NewWriter(conn), home: home}
+	c.left = &io.LimitedReader{R: c}
+	c.r = bufio.NewReader(c.left)
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	c.look = func(fd uintptr) bool {
+		c.seen = peek(fd)
+		return !errors.Is(c.seen, syscall.EAGAIN)
+	}
+	return c
+}
+
+// Read implements io.Reader. It also passes what it reads to the check for ambiguous
+// framing.
+func (c *backendConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.read(p[:n])
+	return n, err
+}
+
+// await waits until the socket is readable and consumes nothing, so that waiting needs
+// no buffer. A socket reports a reset only once: a later read sees the end of the stream
+// instead, so the caller must act on the error that await returns.
+func (c *backendConn) await() error {
+	if c.raw == nil {
+		return nil
+	}
+	if err := c.raw.Read(c.look); err != nil {
+		return err
+	}
+	return c.seen
+}
+
+// peek returns nil if the socket has data or has reached its end, and EAGAIN if it is
+// quiet.
+func peek(fd uintptr) error {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err
+}
+
+// alive reports, without blocking, whether an idle connection is still open and has no
+// data to read. It has to be checked before use: a request written to a connection that
+// the backend has closed ends in a reset, which does not prove that the request had no
+// effect.
+func alive(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	// The read deadline of the last use may have expired since. Without this, peeking
+	// at a healthy connection would fail with a time-out.
+	conn.SetReadDeadline(time.Time{})
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		quiet = errors.Is(peek(fd), syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/gateway/dial.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// dial opens a connection to a target within the given time, unless ctx ends or the
+// target is retired first.
+func dial(ctx context.Context, t *target, within time.Duration) (*backendConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	defer context.AfterFunc(t.ctx, cancel)()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", t.address)
+	if err != nil {
+		return nil, err
+	}
+	limitSilence(conn) // for peers that vanish without a word
+	return newBackendConn(conn, t), nil
+}
+
+// noDescriptor reports whether the system has run out of descriptors or buffers.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM)
+}
+
+// waited sleeps for d. It returns false if ctx ends first.
+func waited(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunlintray/rules"
+)
+
+// lastMoment is how long a sender may take to notice that the whole body has been sent.
+const lastMoment = 20 * time.Millisecond
+
+// write sends a request whose body is held in memory.
+func (a *attempt) write(c *backendConn) error {
+	x := a.x
+	length := int64(len(x.body))
+	if x.trailer != nil {
+		length = -1 // only chunked bodies have trailers
+	}
+	a.writeHead(c.w, time.Until(a.until), length)
+	if length >= 0 {
+		c.w.Write(x.body) // the writer keeps an error until Flush
+		return c.w.Flush()
+	}
+	writeChunk(c.w, x.body)
+	writeTrailer(c.w, x.trailer)
+	return c.w.Flush()
+}
+
+// writeHead writes the request line and the headers: those of the client, the time that
+// this attempt has left, and the framing of the body. A negative length means chunks.
+func (a *attempt) writeHead(w *bufio.Writer, left time.Duration, length int64) {
+	x := a.x
+	var digits [20]byte
+	for _, part := range [...]string{x.method, " ", x.uri, " HTTP/1.1\r\nHost: ", x.host, "\r\n" + leftHeader + ": "} {
+		w.WriteString(part)
+	}
+	w.Write(strconv.AppendInt(digits[:0], max(left.Milliseconds(), 1), 10))
+	w.WriteString("\r\n")
+	x.header.Write(w)
+	switch {
+	case length > 0 || length == 0 && x.method == http.MethodPost:
+		w.WriteString("Content-Length: ")
+		w.Write(strconv.AppendInt(digits[:0], length, 10))
+		w.WriteString("\r\n")
+	case length < 0:
+		w.WriteString("Transfer-Encoding: chunked\r\n")
+		if len(x.announced) > 0 {
+			w.WriteString("Trailer: " + strings.Join(x.announced, ", ") + "\r\n")
+		}
+	}
+	w.WriteString("\r\n")
+}
+
+// writeChunk writes one chunk of a body, or nothing if p is empty.
+func writeChunk(w *bufio.Writer, p []byte) {
+	if len(p) == 0 {
+		return // an empty chunk would end the body
+	}
+	var digits [20]byte
+	w.Write(append(strconv.AppendInt(digits[:0], int64(len(p)), 16), '\r', '\n'))
+	w.Write(p)
+	w.WriteString("\r\n")
+}
+
+// writeTrailer ends a chunked body.
+func writeTrailer(w *bufio.Writer, trailer http.Header) {
+	w.WriteString("0\r\n")
+	trailer.Write(w)
+	w.WriteString("\r\n")
+}
+
+// stream sends a request whose body is still arriving from the client. It reads the
+// response at the same time, since a backend may answer before the body has ended. The
+// second result reports whether the connection may be reused.
+func (p *pools) stream(a *attempt, c *backendConn) (result, bool) {
+	u := a.x.upload
+	c.SetDeadline(a.until) // zero, so without a deadline, unless the body is complete by now
+	u.take(a)
+	sent := make(chan error, 1)
+	p.figures.up.open.Add(1)
+	go func() {
+		defer p.figures.up.open.Add(-1)
+		defer u.done(a)
+		why, err := a.send(c)
+		if err == nil {
+			p.figures.tries.Add(1)
+		}
+		p.figures.up.end(why, a.x.header.Get(idHeader), err)
+		if sent <- err; err != nil {
+			c.Close() // which also ends the wait for a response
+		}
+	}()
+	res, reuse := p.answer(a, c)
+	var cut error
+	over, err := a.sentBy(sent)
+	if !over {
+		c.Close() // nothing more of the body may leave
+		reuse = false
+		if err = errCutShort; a.last.Load() {
+			err = <-sent // the sender is at the last piece
+		}
+	}
+	res.spent, cut = u.leave()
+	if err == nil || res.outcome != rules.Broken && res.outcome != rules.TimedOut {
+		return res, reuse && err == nil // a response, or a failure after the whole body was sent
+	}
+	// The body broke off before its end was written, so the backend has run nothing.
+	res.outcome, res.err, res.cut = rules.ConnectFailed, err, cut
+	if cut != nil || errors.Is(err, errCutShort) && u.answered() {
+		res.outcome = rules.Moot // the backend is not to blame
+	}
+	return res, false
+}
+
+// sentBy reports whether the sender has finished, and with which error. The response may
+// arrive a moment before the sender has noticed that the whole body is sent, so sentBy
+// waits up to lastMoment for one that is at the last piece.
+func (a *attempt) sentBy(sent <-chan error) (over bool, err error) {
+	if !a.last.Load() {
+		select {
+		case err = <-sent:
+			return true, err
+		default:
+			return false, nil
+		}
+	}
+	moment := time.NewTimer(lastMoment)
+	defer moment.Stop()
+	select {
+	case err = <-sent:
+		return true, err
+	case <-moment.C:
+		return false, nil
+	}
+}
+
+// send writes the body of an upload as it arrives. It returns why the upload ended.
+func (a *attempt) send(c *backendConn) (cause, error) {
+	u, to := a.x.upload, pace{pause: stall, grace: stall, rate: leastRate}
+	a.writeHead(c.w, u.left, u.length)
+	for at, total := 0, int64(0); ; {
+		piece, err := u.next(a, at)
+		if err != nil && err != io.EOF {
+			return bodyCause(err), err
+		}
+		at += len(piece)
+		total += int64(len(piece))
+		if err == io.EOF || total == u.length {
+			a.last.Store(true)
+		}
+		before := time.Now()
+		c.SetWriteDeadline(a.writeBy(before.Add(to.wait())))
+		if u.length >= 0 {
+			c.w.Write(piece)
+		} else {
+			writeChunk(c.w, piece)
+		}
+		if err == io.EOF && u.length < 0 {
+			writeTrailer(c.w, trailers(u.request.Trailer))
+		}
+		if err := c.w.Flush(); err != nil {
+			return slowOr(err, backendSlow, backendBroke), err
+		}
+		if err == io.EOF {
+			return endedWhole, nil
+		}
+		to.moved(len(piece), time.Since(before))
+	}
+}
