--- /dev/null
+++ b/internal/group/config.go
@@ -0,0 +1,64 @@
+package group
+
+import (
+	"errors"
+	"fmt"
+
+	"dunlintray/internal/budget"
+	"dunlintray/internal/ledger"
+)
+
+// Config is the configuration of a member.
+type Config struct {
+	Name    string            // name of the group, the same for all members
+	Self    uint64            // this member's number, from 1
+	Members map[uint64]string // addresses by number, this member's included: the 1, 3 or 5 founders, or some to join by
+	Lists   map[uint64]string // addresses of their registries, if the group replicates the list
+	Join    bool              // the group exists, and this member is added to it
+	Dir     string            // folder of the log and its snapshots
+	DataMB  int               // limit of the size of all files in Dir
+	Limits  ledger.Limits
+	List    List // the list that the group replicates beside the ledger; nil: none
+}
+
+// List is a member's replica of a registry's list. The member's loop calls the methods, one
+// at a time.
+type List interface {
+	// ApplyList applies committed records.
+	ApplyList(records [][]byte)
+	// SaveList returns the list for a snapshot.
+	SaveList() [][]byte
+	// RestoreList replaces the list by that of a snapshot.
+	RestoreList(lines [][]byte) error
+	// SetWriter names the writer by the address of its registry, or "" if none is known.
+	// here says that this member is the writer and has applied all earlier entries.
+	SetWriter(here bool, address string)
+	// Sights returns what records say of backends.
+	Sights(records [][]byte) []budget.Sight
+}
+
+// Check validates the configuration.
+func (c *Config) Check() error {
+	switch {
+	case c.Name == "" || len(c.Name) > 64:
+		return fmt.Errorf("name: %.80q is not from 1 to 64 bytes", c.Name)
+	case !c.Join && len(c.Members) != 1 && len(c.Members) != 3 && len(c.Members) != 5:
+		return fmt.Errorf("members: %d are not 1, 3 or 5", len(c.Members))
+	case c.Members[c.Self] == "":
+		return fmt.Errorf("self: %d is not among the members", c.Self)
+	case c.Join && len(c.Members) < 2:
+		return errors.New("members: one that joins has to know another")
+	case c.Dir == "":
+		return errors.New("data_dir: a member has to keep what it has promised")
+	case c.DataMB < 64:
+		return fmt.Errorf("data_mb: %d is under 64", c.DataMB)
+	}
+	seen := map[string]uint64{}
+	for n, at := range c.Members {
+		if other, twice := seen[at]; n == 0 || twice {
+			return fmt.Errorf("members: %d and %d are at %s, or one has the number 0", n, other, at)
+		}
+		seen[at] = n
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/read.go
@@ -0,0 +1,101 @@
+package group
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"dunlintray/internal/ledger"
+)
+
+// read is a linearizable read: it waits until a quorum has confirmed the leader, and until
+// this member has applied the entries that were committed by then.
+type read struct {
+	index uint64 // entries up to here must be applied; 0: not confirmed yet
+	done  chan struct{}
+}
+
+// Age returns how long ago the leader was heard last, or a negative time if never.
+func (g *Group) Age() (age time.Duration) {
+	age = -1
+	g.call(context.Background(), func() {
+		if !g.heard.IsZero() {
+			age = time.Since(g.heard)
+		}
+	})
+	return age
+}
+
+// Read calls look with the ledger. A current read is linearizable: it sees all that was
+// committed before the call. Another read sees what this member has applied.
+func (g *Group) Read(ctx context.Context, current bool, look func(*ledger.State)) error {
+	if current {
+		if err := g.confirm(ctx); err != nil {
+			return err
+		}
+	}
+	return g.call(ctx, func() { look(g.state) })
+}
+
+// confirm waits until a quorum has confirmed the leader and this member has applied all
+// that was committed when confirm was called.
+func (g *Group) confirm(ctx context.Context) error {
+	w := &read{done: make(chan struct{})}
+	var key uint64
+	var asked error
+	if err := g.call(ctx, func() {
+		switch {
+		case g.writer == 0:
+			asked = ErrNoWriter
+		case len(g.reads) >= mostWaiting:
+			asked = ErrBusy
+		default:
+			key = g.key()
+			g.reads[key] = w
+			g.core.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, key))
+		}
+	}); err != nil {
+		return err
+	}
+	if asked != nil {
+		return asked
+	}
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		g.post(func() { delete(g.reads, key) })
+		return ErrNoWriter
+	case <-g.ended:
+		return errEnded
+	}
+}
+
+// Changes waits until a record under a prefix has changed after the index since, or until
+// ctx ends. If the history does not go back that far, it returns all records and sets
+// whole. The first result is the index to continue from.
+func (g *Group) Changes(ctx context.Context, since uint64, prefix string) (index uint64, whole bool, changes []ledger.Change, err error) {
+	for {
+		var news chan struct{}
+		err := g.call(ctx, func() {
+			index, news = g.state.Index(), g.news
+			var known bool
+			if changes, known = g.state.Since(since, prefix); !known {
+				whole = true
+				for _, r := range g.state.List(prefix) {
+					changes = append(changes, ledger.Change{Record: r})
+				}
+			}
+		})
+		if err != nil || whole || len(changes) > 0 {
+			return index, whole, changes, err
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return index, false, nil, nil
+		case <-g.ended:
+			return 0, false, nil, errEnded
+		}
+	}
+}
