--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -52,6 +52,12 @@
 		Watchers     int     `json:"watchers"`
 		ListsPerS    float64 `json:"lists_per_s"`
 		DataMB       int     `json:"data_mb"`
+		// Of readers that read a part of the list.
+		Subscriptions      int   `json:"subscriptions"`       // sets of scopes that are kept
+		SubscriptionScopes int   `json:"subscription_scopes"` // scopes of one set
+		SubscribedScopes   int   `json:"subscribed_scopes"`   // scopes of all sets
+		SubscriptionBytes  int64 `json:"subscription_bytes"`  // of a call that names a set
+		EmptyServices      int   `json:"empty_services"`      // services without instances that stay known
 	} `json:"limits"`
 }
 
@@ -83,11 +89,13 @@
 
 func (c *config) store() registry.Limits {
 	return registry.Limits{Lease: time.Duration(c.LeaseMs) * time.Millisecond, Instances: c.Limits.Instances,
-		History: c.Limits.History, HistoryBytes: c.Limits.HistoryBytes}
+		History: c.Limits.History, HistoryBytes: c.Limits.HistoryBytes, EmptyServices: c.Limits.EmptyServices}
 }
 
 func (c *config) serves() registry.ServerLimits {
-	return registry.ServerLimits{Connections: c.Limits.Connections, Watchers: c.Limits.Watchers, Lists: c.Limits.ListsPerS}
+	return registry.ServerLimits{Connections: c.Limits.Connections, Watchers: c.Limits.Watchers, Lists: c.Limits.ListsPerS,
+		Subscriptions: c.Limits.Subscriptions, SubscriptionScopes: c.Limits.SubscriptionScopes,
+		SubscribedScopes: c.Limits.SubscribedScopes, SubscriptionBytes: c.Limits.SubscriptionBytes}
 }
 
 func readConfig(path string) (*config, error) {
@@ -100,6 +108,8 @@
 	c.Limits.Instances, c.Limits.History, c.Limits.HistoryBytes = 10_000, 20_000, 8<<20
 	c.Limits.Connections, c.Limits.Watchers, c.Limits.ListsPerS = 1024, 800, 100
 	c.Limits.DataMB = 512
+	c.Limits.Subscriptions, c.Limits.SubscriptionScopes, c.Limits.SubscribedScopes = 2000, 4096, 1<<18
+	c.Limits.SubscriptionBytes, c.Limits.EmptyServices = 1<<20, 4096
 	d := json.NewDecoder(f)
 	d.DisallowUnknownFields()
 	if err := d.Decode(c); err != nil {
@@ -157,6 +167,10 @@
 		return fmt.Errorf("lease_ms: %d is not from 500 to 600000", c.LeaseMs)
 	case l.Instances < 1 || l.History < 1 || l.HistoryBytes < 1024 || l.Connections < 2 || l.Watchers < 1 || !(l.ListsPerS >= 1):
 		return errors.New("limits: each has to allow something")
+	case l.Subscriptions < 1 || l.SubscriptionScopes < 1 || l.SubscribedScopes < l.SubscriptionScopes || l.SubscriptionBytes < 1024 || l.EmptyServices < 1:
+		return errors.New("limits: subscriptions: each has to allow something, and subscribed_scopes one whole subscription")
+	case l.SubscriptionScopes > registry.MostScopes:
+		return fmt.Errorf("limits: subscription_scopes: %d is above %d", l.SubscriptionScopes, registry.MostScopes)
 	case l.DataMB < 32:
 		return fmt.Errorf("limits: data_mb: %d is under 32", l.DataMB)
 	case l.Watchers >= l.Connections:
--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -218,7 +218,10 @@
 	}
 	for _, text := range []string{`{`, `{}`, `{"listen":"127.0.0.1"}`, `{"listen":"127.0.0.1:1","colour":1}`, `{"listen":"127.0.0.1:1"}{}`,
 		`{"listen":"127.0.0.1:1","lease_ms":0}`, `{"listen":"127.0.0.1:1","writer":"x"}`, `{"listen":"127.0.0.1:1","limits":{"watchers":0}}`,
-		`{"listen":"127.0.0.1:1","limits":{"watchers":2000}}`, `{"listen":"127.0.0.1:1","limits":{"lists_per_s":-1}}`} {
+		`{"listen":"127.0.0.1:1","limits":{"watchers":2000}}`, `{"listen":"127.0.0.1:1","limits":{"lists_per_s":-1}}`,
+		`{"listen":"127.0.0.1:1","limits":{"subscriptions":0}}`, `{"listen":"127.0.0.1:1","limits":{"subscription_scopes":0}}`,
+		`{"listen":"127.0.0.1:1","limits":{"subscription_scopes":70000,"subscribed_scopes":70000}}`, `{"listen":"127.0.0.1:1","limits":{"subscribed_scopes":4095}}`,
+		`{"listen":"127.0.0.1:1","limits":{"subscription_bytes":10}}`, `{"listen":"127.0.0.1:1","limits":{"empty_services":0}}`} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		os.WriteFile(path, []byte(text), 0o600)
 		if c, err := readConfig(path); err == nil {
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -665,6 +665,7 @@
 func (s *Server) writeFigures(w io.Writer) {
 	s.mu.Lock()
 	st := s.store.Stats()
+	subscriptions, scopes := s.subscribed.recent.Len(), s.subscribed.scopes
 	s.mu.Unlock()
 	f := &s.figures
 	type line struct {
@@ -677,7 +678,8 @@
 		{"registered", st.Registered, "c"}, {"renewed", st.Renewed, "c"}, {"lapsed", st.Lapsed, "c"}, {"pauses", st.Pauses, "c"},
 		{"encoded", st.Encoded, "c"}, {"joined", st.Joined, "c"}, {"answers", f.answers.Load(), "c"},
 		{"answer_bytes", f.bytes.Load(), "c"}, {"watchers_cut", f.cut.Load(), "c"}, {"refused", f.refused.Load(), "c"},
-		{"turned_away", f.turnedAway.Load(), "c"}}
+		{"turned_away", f.turnedAway.Load(), "c"}, {"services", int64(st.Services), "g"}, {"empty_services", int64(st.EmptyServices), "g"},
+		{"subscriptions", int64(subscriptions), "g"}, {"subscribed_scopes", int64(scopes), "g"}, {"joined_scoped", st.Scoped, "c"}}
 	if s.age != nil {
 		lines = append(lines, line{"age_ms", s.age(), "g"})
 	}
