Registry: a change of an instance in no service keeps no placements

Each change of the history had room for a placement and a list of others, 72 bytes, also where no instance names a service. It is one pointer now, nil there. Compact keeps all known services, as it keeps all of the history.

--- a/internal/registry/keeper.go
+++ b/internal/registry/keeper.go
@@ -270,7 +270,7 @@
 
 // Compact writes a snapshot of a folder that no process has.
 func Compact(fs wal.FS, most int64) (wal.Stats, error) {
-	log, store, err := Open(fs, most, Limits{Lease: time.Second, Instances: 1 << 30, History: 1 << 30, HistoryBytes: 1 << 40}, 0)
+	log, store, err := Open(fs, most, Limits{Lease: time.Second, Instances: 1 << 30, History: 1 << 30, HistoryBytes: 1 << 40, EmptyServices: 1 << 30}, 0)
 	if err != nil {
 		return wal.Stats{}, err
 	}
--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -124,8 +124,7 @@
 			if r.Change.Version < s.from {
 				return fmt.Errorf("version %d is not behind %d", r.Change.Version, s.from)
 			}
-			c := newChange(i, r.Change.Version, r.Change.Instance)
-			c.left = r.Change.Left
+			c := newChange(i, r.Change.Version, r.Change.Instance, r.Change.Left)
 			s.remember(c, c.gone && s.entries[i.ID] == nil)
 			return nil
 		}
@@ -157,7 +156,7 @@
 		all = append(all, Saved{Empty: &SavedServices{names}})
 	}
 	for _, c := range s.changes {
-		all = append(all, Saved{Change: &SavedInstance{c.version, c.text, c.left}})
+		all = append(all, Saved{Change: &SavedInstance{c.version, c.text, c.left()}})
 	}
 	if s.fence != nil {
 		all = append(all, Saved{Fence: s.fence})
--- a/internal/registry/scope_model_test.go
+++ b/internal/registry/scope_model_test.go
@@ -145,7 +145,9 @@
 	w.models[at(store.history, store.version)] = list
 	if w.defect == defectFoldMoves {
 		for n := range store.changes {
-			store.changes[n].left = nil
+			if p := store.changes[n].places; p != nil {
+				p.left = nil
+			}
 		}
 	}
 }
--- a/internal/registry/scoped.go
+++ b/internal/registry/scoped.go
@@ -32,10 +32,10 @@
 
 // concerns reports whether a change can alter what the reader has or wants.
 func (q ScopedRead) concerns(c *change) bool {
-	if q.touches(c.at) {
+	if q.touches(c.at()) {
 		return true
 	}
-	for _, p := range c.left {
+	for _, p := range c.left() {
 		if q.touches(p) {
 			return true
 		}
@@ -183,7 +183,7 @@
 		}
 		told[c.id] = true
 		text := c.text
-		if !c.gone && !q.Scopes.contains(c.at) || c.gone && !q.touches(c.at) {
+		if !c.gone && !q.Scopes.contains(c.at()) || c.gone && !q.touches(c.at()) {
 			if text, err = q.leaves(c); err != nil {
 				return nil, err
 			}
@@ -205,7 +205,7 @@
 		return nil, err
 	}
 	i.Lifecycle, i.Drained = Gone, false
-	for _, p := range c.left {
+	for _, p := range c.left() {
 		if q.touches(p) {
 			i.Service, i.Region, i.Zone = p.Service, p.Region, p.Zone
 			break
@@ -299,10 +299,10 @@
 func (m *movedInstances) add(c *change, now Placement) {
 	left := (*m)[c.id]
 	was := len(left)
-	for _, p := range c.left {
+	for _, p := range c.left() {
 		left = appendLeft(left, p, now)
 	}
-	left = appendLeft(left, c.at, now)
+	left = appendLeft(left, c.at(), now)
 	if len(left) == was {
 		return
 	}
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -101,17 +101,37 @@
 	drained bool
 	gone    bool
 	text    []byte
+	places  *places // nil: the instance is in no service, and was in none
+}
 
-	at Placement // of the instance as the text has it
-	// left are the other placements that the instance had since the version before,
-	// which is several changes ago where a follower was told of them at once.
+// places are where an instance is after a change, and where it was before.
+type places struct {
+	at Placement
+	// left are the other placements that the instance had since the version before, which
+	// is several changes ago where a follower was told of them at once.
 	left []Placement
 }
 
+// at is where the instance is; nowhere that a scope knows if it is in no service.
+func (c *change) at() Placement {
+	if c.places == nil {
+		return Placement{}
+	}
+	return c.places.at
+}
+
+// left are the placements that the instance left with the change.
+func (c *change) left() []Placement {
+	if c.places == nil {
+		return nil
+	}
+	return c.places.left
+}
+
 // size is what a change counts for in the bytes of the history.
 func (c *change) size() int {
 	bytes := len(c.text)
-	for _, p := range c.left {
+	for _, p := range c.left() {
 		bytes += len(p.Service) + len(p.Region) + len(p.Zone)
 	}
 	return bytes
@@ -190,14 +210,15 @@
 
 // putText takes a change in whose text there is.
 func (s *Store) putText(i Instance, text []byte, version int64, now time.Duration, meanwhile []Placement) {
-	c := newChange(i, version, text)
+	var left []Placement
 	if e := s.entries[i.ID]; e != nil {
-		c.left = appendLeft(c.left, e.placement(), c.at)
+		left = appendLeft(left, e.placement(), i.placement())
 	}
 	for _, p := range meanwhile {
-		c.left = appendLeft(c.left, p, c.at)
+		left = appendLeft(left, p, i.placement())
 		s.services.mention(p.Service)
 	}
+	c := newChange(i, version, text, left)
 	s.version = version
 	s.dropAnswers()
 	if i.Lifecycle == Gone {
@@ -210,8 +231,12 @@
 	s.remember(c, c.gone)
 }
 
-func newChange(i Instance, version int64, text []byte) change {
-	return change{version: version, id: i.ID, started: i.StartedAtMs, drained: i.Drained, gone: i.Lifecycle == Gone, text: text, at: i.placement()}
+func newChange(i Instance, version int64, text []byte, left []Placement) change {
+	c := change{version: version, id: i.ID, started: i.StartedAtMs, drained: i.Drained, gone: i.Lifecycle == Gone, text: text}
+	if i.Service != "" || len(left) > 0 {
+		c.places = &places{i.placement(), left}
+	}
+	return c
 }
 
 // appendLeft adds a placement that was left for another, once. One without a service is
@@ -494,7 +519,7 @@
 				seen[c.id] = n
 				texts = append(texts, c.text)
 			}
-			moved.add(c, s.changes[last].at)
+			moved.add(c, s.changes[last].at())
 		}
 		slices.Reverse(texts)
 		more = []answerPart{{"moved", moved.sorted()}}
