--- a/internal/registry/agreed_test.go
+++ b/internal/registry/agreed_test.go
@@ -110,6 +110,9 @@
 	for range 150 {
 		tried++
 		i := Instance{ID: fmt.Sprint("s-", random.IntN(5)), HostPort: "127.0.0.1:1", Zone: "a", MachineType: "m", Weight: 1, StartedAtMs: tried}
+		if random.IntN(3) > 0 { // it may move from service to service
+			i.Service, i.Region = fmt.Sprint("service-", random.IntN(4)), "r"
+		}
 		s := f.members[f.now()]
 		w, err := s.writeChange(func(now time.Duration) (Written, error) { return s.store.Register(now, i, nil) })
 		if err == nil {
--- a/internal/registry/scope_test.go
+++ b/internal/registry/scope_test.go
@@ -211,22 +211,42 @@
 		return w.Version
 	}
 	inA := move(1, "a", "r1")
+	log, copied := s.Save(), []Saved(nil)
 	a, _ := s.Read(0, -1, "")
 	l, _ := ParseListing(a.Body)
 	follower := newStore(testLimits, 0)
-	if err := follower.Copy(0, l, "h1"); err != nil {
-		t.Fatal(err)
+	keep := func(l Listing) {
+		copied = append(copied, Saved{Copy: &SavedCopy{"h1", 1, l}})
+		if err := follower.Copy(0, l, "h1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replayed := func(log []Saved) *Store {
+		again := newStore(testLimits, 0)
+		for _, r := range log {
+			read, err := ParseSaved(encodeSaved(r))
+			if err == nil {
+				err = again.Restore(0, read)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		return again
 	}
+	keep(l)
 	inB := move(2, "b", "r1")
 	inC := move(3, "c", "r2")
 	a, _ = s.Read(0, inA, "h1")
 	if l, _ = ParseListing(a.Body); len(l.Moved) != 1 || len(l.Moved[0].From) != 2 {
 		t.Fatalf("%s", a.Body)
 	}
-	if err := follower.Copy(0, l, "h1"); err != nil {
-		t.Fatal(err)
+	keep(l)
+	for _, c := range s.changes[len(s.changes)-2:] { // as they are kept in a log
+		log = append(log, Saved{Change: &SavedInstance{Version: c.version, Instance: c.text}})
 	}
-	for name, store := range map[string]*Store{"the writer": s, "after a restart": restarted(t, s, 0), "a follower": follower, "a follower after a restart": restarted(t, follower, 0)} {
+	for name, store := range map[string]*Store{"the writer": s, "after a restart": restarted(t, s, 0), "a follower": follower, "a follower after a restart": restarted(t, follower, 0),
+		"from the log": replayed(log), "a follower from its log": replayed(copied)} {
 		for _, c := range []struct {
 			since int64
 			scope string
