Rules: settings tell how many gateways share a backend

A gateway that is told a subset of the backends took its part of their work by the whole fleet: with 40 backends of 1,000 and 500 gateways its bound on attempts began at 0.32 instead of 8, and rose by as little. Settings.Sharing is the number of gateways that use one backend; absent, it is the fleet as before. The bound, the allowance of cold backends and the stretch of the list for new connections go by it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -357,7 +357,7 @@
 	}
 	cost := (1 + held) * slow / (well * well)
 	if !s.linked(g.now, g.set.KeepAlive) && g.warmth(s) >= 1 {
-		fleet := float64(max(g.set.Fleet, 1))
+		fleet := float64(g.set.sharing())
 		ahead := float64(at)/float64(len(g.list)) - float64(g.set.Rank)/fleet
 		if ahead -= math.Floor(ahead); ahead >= stretchOf/fleet {
 			cost *= 1 + newConn + newApart*ahead
@@ -668,8 +668,8 @@
 
 func (g *Gateway) boundLeast() float64 { return boundFloor * g.perGateway() }
 
-// perGateway is how many backends there are for each gateway.
-func (g *Gateway) perGateway() float64 { return float64(len(g.list)) / float64(max(g.set.Fleet, 1)) }
+// perGateway is how many backends there are for each gateway, of those that it may use.
+func (g *Gateway) perGateway() float64 { return float64(len(g.list)) / float64(g.set.sharing()) }
 
 // warmth is the least share of its capacity that a backend can be trusted with.
 func (g *Gateway) warmth(s *server) float64 {
@@ -688,7 +688,7 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(w*g.warmRate, coldMin/float64(cmp.Or(g.here, g.set.Fleet, 1))) * g.share
+	rate := max(w*g.warmRate, coldMin/float64(cmp.Or(g.set.Sharing, g.here, g.set.Fleet, 1))) * g.share
 	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), max(coldSave*g.share, 1))
 	s.budgetedAt = g.now
 	return s.budget >= 1
--- a/rules/state.go
+++ b/rules/state.go
@@ -324,6 +324,9 @@
 	return s
 }
 
+// sharing is how many gateways use one backend.
+func (s *Settings) sharing() int { return max(cmp.Or(s.Sharing, s.Fleet), 1) }
+
 // Knows tells whether a backend is on the list, or was when it was banned.
 func (g *Gateway) Knows(id BackendID) bool {
 	s := g.servers[id]
--- a/rules/types.go
+++ b/rules/types.go
@@ -82,8 +82,13 @@
 
 	Rank  int // this gateway's number among Fleet
 	Fleet int // gateways
-	Zone  int
-	Tick  float64 // events come at most this often
+
+	// Sharing is how many of them use one backend, where each is told a subset of the
+	// backends; 0: all.
+	Sharing int
+
+	Zone int
+	Tick float64 // events come at most this often
 
 	AskDiscovery bool // changes of the list come only when asked for
 	RoughWeights bool // Backend.Weight says something about size
