Gateway: scopes and a subset of the list, by two keys beside registries

A gateway reads the whole list and gives all of it to the decision module. With "scopes" it reads a part, and with "subset" the module gets the K backends that rank highest for this gateway's name. SIGHUP takes other scopes and sizes of a gateway that has them. Without the keys nothing is created and the figures are as before.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -34,6 +34,7 @@
 	BodyMB     int // megabytes that a client may send in one body; 0: any number
 	Known      Listing
 	Members    membersConfig
+	Scopes     scopesConfig
 
 	// Of the environment, where the platform lets two processes of a gateway serve
 	// side by side:
@@ -81,6 +82,8 @@
 			BodyMB   int     `json:"body_mb"`
 		}
 		Registries []string
+		Scopes     []string
+		Subset     *subsetKeys
 		Known      Listing
 		Settings   json.RawMessage
 		Membership bool
@@ -102,6 +105,9 @@
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
+	if c.Scopes, err = readScopes(raw.Scopes, raw.Subset, c.Fleet); err != nil {
+		return Config{}, err
+	}
 	if err := json.Unmarshal(text, &c.document); err != nil {
 		return Config{}, err
 	}
@@ -134,7 +140,7 @@
 	if (len(c.Registries) > 0) != (len(next.Registries) > 0) {
 		return errors.New("registries: whether list services are asked needs a new start")
 	}
-	return nil
+	return c.Scopes.lacks(&next.Scopes)
 }
 
 // missingKey names the first key that is in have and not in next. Of the
@@ -232,5 +238,5 @@
 	case c.Settings.Counter && c.CounterTimeout <= 0:
 		return errors.New("settings: the counter's time-out must be above 0")
 	}
-	return nil
+	return c.Scopes.check(len(c.Registries))
 }
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -73,12 +73,13 @@
 	services   *registry.Client // nil where discovery is asked
 	address    string           // of discovery
 	registries []string
+	scopes     []registry.Scope
 	moves      chan string
 	moved      chan []string
 }
 
 func newListFollower(c *Config, l *Loop) *listFollower {
-	f := &listFollower{address: c.Discovery, registries: c.Registries, moves: make(chan string), moved: make(chan []string)}
+	f := &listFollower{address: c.Discovery, registries: c.Registries, scopes: c.Scopes.scopes, moves: make(chan string), moved: make(chan []string)}
 	tell := func(told Listing, history string) {
 		kind := rules.Delta
 		if told.Reset {
@@ -87,7 +88,14 @@
 		l.post(news{told, kind, history})
 	}
 	if len(c.Registries) > 0 {
-		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) { tell(told.News, told.History) })
+		var unknown unknownScopes
+		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) {
+			unknown.see(told.Unknown)
+			tell(told.News, told.History)
+		})
+		if len(f.scopes) > 0 {
+			f.services.SetScopes(f.scopes)
+		}
 	} else {
 		f.agent = newWatcher(c.Discovery, func(told Listing) { tell(told, "") }, l.turnedAway)
 	}
@@ -102,9 +110,13 @@
 	f.agent.run(ctx, f.moves)
 }
 
-// move follows at the addresses of another configuration. Whether it asks discovery
-// or list services stays as it was at the start.
+// move follows at the addresses of another configuration, and reads its scopes. Whether
+// it asks discovery or list services stays as it was at the start.
 func (f *listFollower) move(ctx context.Context, next *Config) {
+	if f.services != nil && !slices.Equal(f.scopes, next.Scopes.scopes) {
+		f.scopes = next.Scopes.scopes
+		f.services.SetScopes(f.scopes)
+	}
 	switch {
 	case f.services != nil && len(next.Registries) > 0 && !slices.Equal(f.registries, next.Registries):
 		f.registries = next.Registries
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -84,13 +84,20 @@
 	known, skipped    atomic.Int64 // backends
 	up, down          transfers    // bodies to backends and to clients
 	bodies            budget       // of all bodies
-	clients           *clients     // their connections; nil before they are served
+	subset            *subsetFigures
+	clients           *clients // their connections; nil before they are served
 
 	mu      sync.Mutex // of the list, not of the counts
 	classes []*classCounts
 }
 
-func newFigures(c *Config) *figures { return &figures{bodies: budget{total: bodyMemory(c.MemoryMB)}} }
+func newFigures(c *Config) *figures {
+	f := &figures{bodies: budget{total: bodyMemory(c.MemoryMB)}}
+	if c.Scopes.subset.On() {
+		f.subset = &subsetFigures{}
+	}
+	return f
+}
 
 // service puts the counts of its classes beside a deployment. A class that
 // comes back goes on with the counts it had.
@@ -141,6 +148,7 @@
 			line("transfers."+name+".ended."+causeNames[c], &t.ended[c], "c")
 		}
 	}
+	f.subset.write(w)
 	f.clients.write(w)
 	used, most := f.bodies.usage()
 	fmt.Fprintf(w, "app.transfers.memory:%d|g\napp.transfers.memory_most:%d|g\n", used, most)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	}}
 	limits.pair(false)
 	pair := &handover{loop: front.loop, oldest: make(chan struct{}), paired: limits.pair}
-	front.loop.list(c.Known, rules.CachedList)
+	front.loop.receive(news{listing: c.Scopes.cached(c.Known), kind: rules.CachedList})
 	if c.HandoverDir != "" {
 		before, err := pair.join(ctx, c.HandoverDir)
 		if err != nil {
@@ -129,7 +129,7 @@
 					"deployment", fmt.Sprintf("%+v", next.Deployment))
 				in := figures.service(next.Deployment, next.mostBody())
 				pools.retune(seconds(next.ConnectTimeout), seconds(next.KeepAlive))
-				front.loop.post(retuned{in})
+				front.loop.post(retuned{in, next.Scopes.subset})
 				front.service.Store(in) // the loop knows it before any request that is read under it
 				if calls != nil {
 					calls.move(next.Counter, seconds(next.CounterTimeout))
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dunlintray/internal/subset"
 	"dunlintray/rules"
 )
 
@@ -59,9 +60,12 @@
 	}
 	told    struct{ event rules.Event } // news of this process or the one beside it
 	join    struct{ books chan<- books }
-	retuned struct{ service *service }
-	asked   struct{ view chan<- BackendsView } // has room for one
-	news    struct {
+	retuned struct {
+		service *service
+		subset  subset.Settings
+	}
+	asked struct{ view chan<- BackendsView } // has room for one
+	news  struct {
 		listing Listing
 		kind    rules.ListKind
 		history string // of its version, where it has a name
@@ -91,6 +95,7 @@
 	name       string                       // of the gateway
 	history    string                       // of the list that was applied last
 	version    int64
+	subset     *backendSubset           // of the list that it is told; nil: all of it is used
 	offline    map[rules.BackendID]bool // by hand, as this process has heard
 	handedOver rules.Books
 	timers     timerHeap
@@ -110,6 +115,7 @@
 	if c.Members.Membership {
 		l.contact = &contact{}
 	}
+	l.subset = newBackendSubset(c.Name, c.Scopes.subset, f.subset)
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -213,13 +219,14 @@
 		m.known <- l.ban(m.id, m.offline)
 	case retuned:
 		l.service = m.service
-		l.handle(rules.Retune{Settings: m.service.Settings})
+		l.handle(rules.Retune{Settings: l.settings()})
+		l.resizeSubset(m.subset)
 	case news:
 		if m.kind == rules.ListFailed {
 			l.handle(rules.Backends{Kind: m.kind})
 			break
 		}
-		l.list(m.listing, m.kind)
+		l.receive(m)
 		l.history, l.version = m.history, m.listing.Generation
 	case asked:
 		m.view <- l.backends()
@@ -615,6 +622,9 @@
 		l.handle(rules.Timer{Token: t.token})
 		if t.request == 0 { // housekeeping, as often as what the module avoids may change
 			l.count()
+			if l.subset != nil {
+				l.reviewSubset()
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/scopes.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"slices"
+	"sync/atomic"
+
+	"dunlintray/internal/registry"
+	"dunlintray/internal/subset"
+	"dunlintray/rules"
+)
+
+// scopesConfig is which part of the list a gateway reads, and how much of that it uses.
+// The zero value is all of both.
+type scopesConfig struct {
+	scopes []registry.Scope
+	subset subset.Settings
+}
+
+// subsetKeys are the keys of a subset in the configuration.
+type subsetKeys struct{ Size, Coverage int }
+
+// readScopes takes the keys of the configuration; nil stands for an absent one.
+func readScopes(texts []string, keys *subsetKeys, fleet int) (c scopesConfig, err error) {
+	switch {
+	case texts == nil:
+	case len(texts) == 0:
+		return c, errors.New("scopes: there are none; without the key the whole list is read")
+	case len(texts) > registry.MostScopes:
+		return c, fmt.Errorf("scopes: %d are more than %d", len(texts), registry.MostScopes)
+	default:
+		if c.scopes, err = registry.ParseScopes(texts); err != nil {
+			return c, err
+		}
+	}
+	if keys != nil && *keys != (subsetKeys{}) {
+		c.subset = subset.Settings{Size: keys.Size, Coverage: keys.Coverage, Fleet: fleet}
+	}
+	return c, nil
+}
+
+// check finds what a gateway could not run with.
+func (c *scopesConfig) check(registries int) error {
+	switch {
+	case registries == 0 && len(c.scopes) > 0:
+		return errors.New("scopes: only list services tell a part of the list; registries is missing")
+	case registries == 0 && c.subset != subset.Settings{}:
+		return errors.New("subset: it is chosen from what list services tell; registries is missing")
+	}
+	for _, scope := range c.scopes {
+		if first := c.scopes[0].Service; scope.Service != first {
+			return fmt.Errorf("scopes: services %q and %q: a gateway has no routes by service, and all scopes have to be of one", first, scope.Service)
+		}
+	}
+	return c.subset.Check()
+}
+
+// lacks finds a change that needs a new start.
+func (c *scopesConfig) lacks(next *scopesConfig) error {
+	switch {
+	case (len(c.scopes) > 0) != (len(next.scopes) > 0):
+		return errors.New("scopes: whether there are any needs a new start")
+	case c.subset.On() != next.subset.On():
+		return errors.New("subset: whether one is chosen needs a new start")
+	}
+	return nil
+}
+
+// cached returns what of a list known from before is in the scopes.
+func (c *scopesConfig) cached(known Listing) Listing {
+	if len(c.scopes) == 0 {
+		return known
+	}
+	outside := func(i Instance) bool {
+		return !slices.ContainsFunc(c.scopes, func(scope registry.Scope) bool { return scope.Matches(i) })
+	}
+	known.Instances = slices.DeleteFunc(slices.Clone(known.Instances), outside)
+	return known
+}
+
+// unknownScopes logs the scopes that list services do not know, once for each change.
+type unknownScopes struct{ last []registry.Scope }
+
+func (u *unknownScopes) see(now []registry.Scope) {
+	if slices.Equal(u.last, now) {
+		return
+	}
+	u.last = slices.Clone(now)
+	var texts []string
+	for _, scope := range now {
+		texts = append(texts, scope.String())
+	}
+	slog.Warn("scopes that list services do not know", "scopes", texts)
+}
+
+// subsetFigures are what operators are told of the subset.
+type subsetFigures struct{ candidates, size, chosen, widened atomic.Int64 }
+
+// write puts the figures out. Of a gateway that uses all backends they are nil.
+func (f *subsetFigures) write(w io.Writer) {
+	if f == nil {
+		return
+	}
+	for _, l := range []struct {
+		name string
+		n    *atomic.Int64
+	}{{"candidates", &f.candidates}, {"size", &f.size}, {"chosen", &f.chosen}, {"widened", &f.widened}} {
+		fmt.Fprintf(w, "app.subset.%s:%d|g\n", l.name, l.n.Load())
+	}
+}
+
+// backendSubset chooses the backends that this gateway uses. It belongs to the loop. A
+// nil one stands for all there are.
+type backendSubset struct {
+	selector *subset.Selector
+	settings subset.Settings
+	figures  *subsetFigures
+	listed   bool // a list has come from a list service
+	widened  int
+	sharing  int // gateways that use one backend, in the mean
+}
+
+func newBackendSubset(name string, settings subset.Settings, f *subsetFigures) *backendSubset {
+	if !settings.On() {
+		return nil
+	}
+	return &backendSubset{selector: subset.New(name, settings), settings: settings, figures: f}
+}
+
+// choose returns what of the news concerns the backends in use.
+func (s *backendSubset) choose(now float64, told Listing, kind rules.ListKind) Listing {
+	s.listed = s.listed || kind != rules.CachedList
+	if kind != rules.Delta {
+		told.Reset = true
+	}
+	return s.selector.Apply(seconds(now), told)
+}
+
+// review takes in how many backends are usable and returns what changes by that.
+func (s *backendSubset) review(now float64, usable int) Listing {
+	if !s.listed {
+		return Listing{} // what is known from before stands until a list service is heard
+	}
+	return s.selector.Report(seconds(now), usable)
+}
+
+// resize takes other settings and returns what changes by that.
+func (s *backendSubset) resize(now float64, settings subset.Settings) Listing {
+	s.settings = settings
+	return s.selector.Resize(seconds(now), settings)
+}
+
+// note tells operators what the subset is now. It returns whether the number of gateways
+// that share a backend has changed by so much that the module has to know.
+func (s *backendSubset) note() bool {
+	stats := s.selector.Stats()
+	s.figures.candidates.Store(int64(stats.Candidates))
+	s.figures.size.Store(int64(stats.Size))
+	s.figures.chosen.Store(int64(stats.Chosen))
+	s.figures.widened.Store(int64(stats.Widened))
+	if stats.Widened != s.widened {
+		slog.Warn("subset", "widened", stats.Widened, "before", s.widened, "size", stats.Size, "chosen", stats.Chosen, "candidates", stats.Candidates)
+		s.widened = stats.Widened
+	}
+	if stats.Candidates == 0 {
+		return false
+	}
+	sharing := max(int(math.Round(float64(s.settings.Fleet)*float64(stats.Size)/float64(stats.Candidates))), 1)
+	if differ := sharing - s.sharing; sharingStep*max(differ, -differ) <= s.sharing {
+		return false
+	}
+	s.sharing = sharing
+	return true
+}
+
+// sharingStep is the part, one in so many, by which the number of gateways that share a
+// backend may be off before the module hears of it.
+const sharingStep = 10
+
+// usableNow counts the backends that get requests now.
+func (l *Loop) usableNow() int {
+	known, skipped := l.gateway.Listed()
+	return known - skipped
+}
+
+// settings are those of the deployment in force, with what the subset makes of them.
+func (l *Loop) settings() rules.Settings {
+	s := l.service.Settings
+	if l.subset != nil {
+		s.Sharing = l.subset.sharing
+	}
+	return s
+}
+
+// receive takes in what list services or discovery tell.
+func (l *Loop) receive(m news) {
+	if l.subset == nil {
+		l.list(m.listing, m.kind)
+		return
+	}
+	l.use(l.subset.choose(l.clock.now(), m.listing, m.kind), m.kind)
+}
+
+// reviewSubset widens or narrows the subset, if there is reason to.
+func (l *Loop) reviewSubset() {
+	if changes := l.subset.review(l.clock.now(), l.usableNow()); len(changes.Instances) > 0 {
+		l.use(changes, rules.Delta)
+	}
+}
+
+// resizeSubset takes other settings of the subset.
+func (l *Loop) resizeSubset(settings subset.Settings) {
+	if l.subset != nil && settings != l.subset.settings {
+		l.use(l.subset.resize(l.clock.now(), settings), rules.Delta)
+	}
+}
+
+// use tells the module what has changed of the subset. What it reckons by the number of
+// gateways comes first.
+func (l *Loop) use(chosen Listing, kind rules.ListKind) {
+	if l.subset.note() {
+		l.handle(rules.Retune{Settings: l.settings()})
+	}
+	l.list(chosen, kind)
+}
--- /dev/null
+++ b/internal/gateway/scopes_test.go
@@ -0,0 +1,396 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunlintray/internal/registry"
+	"dunlintray/internal/subset"
+)
+
+// scopedList is a list service with backends in several scopes.
+type scopedList struct {
+	address  string
+	backends map[string]*scopedBackend
+}
+
+// scopedBackend answers requests, or breaks their connections.
+type scopedBackend struct {
+	placement registry.Placement
+	server    *httptest.Server
+	failing   atomic.Bool
+	served    atomic.Int64
+}
+
+func (b *scopedBackend) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if b.failing.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	b.served.Add(1)
+	io.WriteString(w, "ok")
+}
+
+// newScopedList starts a list service that is ready at once, with so many backends in each
+// place. They need no renewals for as long as a test lasts.
+func newScopedList(t *testing.T, places map[registry.Placement]int) *scopedList {
+	t.Helper()
+	limits := storeLimits
+	limits.Lease = time.Minute
+	began := time.Now().Add(-time.Hour)
+	writer := registry.NewWriter("self", registry.NewStore(limits, "first", time.Now().UnixMilli(), 0), serveLimits, began, rand.New(rand.NewPCG(1, 1)))
+	s := &scopedList{address: startService(t, "127.0.0.1:0", writer.Serve).address, backends: map[string]*scopedBackend{}}
+	for place, count := range places {
+		for n := range count {
+			id := fmt.Sprintf("%s-%s-%d", place.Service, place.Region, n)
+			b := &scopedBackend{placement: place}
+			b.server = httptest.NewServer(b)
+			t.Cleanup(b.server.Close)
+			s.backends[id] = b
+			s.register(t, id)
+		}
+	}
+	return s
+}
+
+// call makes a write that has to succeed.
+func (s *scopedList) call(t *testing.T, method, path string, body any) {
+	t.Helper()
+	text, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, "http://"+s.address+registry.Path+"/"+path, strings.NewReader(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := (&http.Client{Timeout: patience}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s %s: %s %s", method, path, resp.Status, answer)
+	}
+}
+
+func (s *scopedList) register(t *testing.T, id string) {
+	t.Helper()
+	b := s.backends[id]
+	s.call(t, "PUT", id, map[string]any{"hostPort": b.server.Listener.Addr().String(), "zone": b.placement.Zone, "machineType": "m",
+		"lifecycle": "Ready", "startedAtMs": 5, "service": b.placement.Service, "region": b.placement.Region})
+}
+
+func (s *scopedList) drain(t *testing.T, id string) {
+	t.Helper()
+	s.call(t, "POST", id+"/lifecycle", map[string]any{"startedAtMs": 5, "lifecycle": "Terminating"})
+}
+
+// version is that of the list.
+func (s *scopedList) version(t *testing.T) int64 {
+	t.Helper()
+	resp, err := http.Get("http://" + s.address + registry.Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var l Listing
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		t.Fatal(err)
+	}
+	return l.Generation
+}
+
+// config is the text of a gateway's configuration with keys beside its registries.
+func (s *scopedList) config(name, keys string) string {
+	text := strings.Replace(configText("", testSettings), `"counter"`, fmt.Sprintf(`"registries": [%q], %s, "counter"`, s.address, keys), 1)
+	return strings.Replace(text, `"name": "n3"`, fmt.Sprintf(`"name": %q`, name), 1)
+}
+
+// gateway starts one and waits until it is ready.
+func (s *scopedList) gateway(t *testing.T, name, keys string) *rig {
+	t.Helper()
+	c, err := parseConfig([]byte(s.config(name, keys)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{ended: make(chan error, 1)}
+	r.serve(t, &c, l)
+	r.until(t, http.StatusOK)
+	return r
+}
+
+// view is what a gateway tells of its backends.
+func (r *rig) view(t *testing.T) (v BackendsView) {
+	t.Helper()
+	_, text := r.operate(t, "GET", "/control/backends")
+	if err := json.Unmarshal([]byte(text), &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// inUse returns the backends that a gateway has as Ready.
+func (r *rig) inUse(t *testing.T) (ids []string) {
+	t.Helper()
+	for _, b := range r.view(t).Backends {
+		if b.Lifecycle == registry.Ready {
+			ids = append(ids, b.ID)
+		}
+	}
+	return ids
+}
+
+// requests sends so many, one after the other, and returns how many were served, and
+// which backends served them.
+func (s *scopedList) requests(t *testing.T, r *rig, count int) (ok int, by []string) {
+	t.Helper()
+	before := map[string]int64{}
+	for id, b := range s.backends {
+		before[id] = b.served.Load()
+	}
+	for range count {
+		_, answers := r.client(t, ask("GET", "lookup", ""))
+		if wait(t, answers, "answer").StatusCode == http.StatusOK {
+			ok++
+		}
+	}
+	for id, b := range s.backends {
+		if b.served.Load() > before[id] {
+			by = append(by, id)
+		}
+	}
+	slices.Sort(by)
+	return ok, by
+}
+
+// allServed sends requests that have to be served, by the given backends alone.
+func (s *scopedList) allServed(t *testing.T, r *rig, by []string) {
+	t.Helper()
+	const count = 40
+	ok, served := s.requests(t, r, count)
+	if ok != count {
+		t.Errorf("%d of %d requests were served", ok, count)
+	}
+	for _, id := range served {
+		if !slices.Contains(by, id) {
+			t.Errorf("%s has served, and is not among %v", id, by)
+		}
+	}
+}
+
+// until waits for a condition.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+var (
+	checkoutHere  = registry.Placement{Service: "checkout", Region: "eu", Zone: "a"}
+	checkoutThere = registry.Placement{Service: "checkout", Region: "us", Zone: "b"}
+	otherService  = registry.Placement{Service: "search", Region: "eu", Zone: "a"}
+)
+
+const scopesHere = `"scopes": ["checkout@region=eu"], "subset": {"size": 3}`
+
+// bestOf returns the backends that a gateway should use by its name alone.
+func (s *scopedList) bestOf(name string, place registry.Placement) (ids []string) {
+	whole := Listing{Reset: true}
+	for id, b := range s.backends {
+		if b.placement == place {
+			whole.Instances = append(whole.Instances, Instance{ID: id, Lifecycle: registry.Ready, Service: place.Service})
+		}
+	}
+	for _, i := range subset.New(name, subset.Settings{Size: 3, Fleet: 2}).Apply(0, whole).Instances {
+		ids = append(ids, i.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// A gateway uses its subset of its scopes alone. What of it drains is replaced at once and
+// gets nothing new; what drains outside is acknowledged by the version.
+func TestScopesAndSubset(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 8, checkoutThere: 2, otherService: 2})
+	r := s.gateway(t, "gw-1", scopesHere)
+	r.tells(t, "app.known_backends:3|g", "app.subset.candidates:8|g", "app.subset.size:3|g", "app.subset.chosen:3|g", "app.subset.widened:0|g")
+	first := r.inUse(t)
+	if want := s.bestOf("gw-1", checkoutHere); !slices.Equal(first, want) {
+		t.Errorf("%v are in use, want %v", first, want)
+	}
+	s.allServed(t, r, first)
+
+	// Another process of this gateway uses the same, and another gateway others.
+	if again := s.gateway(t, "gw-1", scopesHere).inUse(t); !slices.Equal(again, first) {
+		t.Errorf("a second process uses %v, not %v", again, first)
+	}
+	if others := s.gateway(t, "gw-2", scopesHere).inUse(t); slices.Equal(others, first) {
+		t.Errorf("another gateway uses %v too", others)
+	}
+
+	outside := ""
+	for id, b := range s.backends {
+		if b.placement == checkoutHere && !slices.Contains(first, id) {
+			outside = id
+		}
+	}
+	for _, id := range []string{outside, "checkout-us-0"} { // of the subset, and of the scopes
+		s.drain(t, id)
+		version := s.version(t)
+		until(t, "the version of a drain outside is told", func() bool { return r.view(t).Version >= version })
+		if now := r.inUse(t); !slices.Equal(now, first) {
+			t.Errorf("after a drain of %s %v are in use, not %v", id, now, first)
+		}
+	}
+
+	s.drain(t, first[0])
+	until(t, "the drain is told", func() bool { return !slices.Contains(r.inUse(t), first[0]) })
+	now := r.inUse(t)
+	if len(now) != 3 || !slices.Contains(now, first[1]) || !slices.Contains(now, first[2]) || slices.Contains(now, outside) {
+		t.Errorf("%v are in use after %v, of which the first drains", now, first)
+	}
+	r.tells(t, "app.known_backends:4|g", "app.skipped_backends:1|g", "app.subset.chosen:3|g")
+	s.allServed(t, r, now)
+
+	s.call(t, "DELETE", now[0]+"?startedAtMs=5", nil)
+	until(t, "one that has gone is replaced", func() bool { return len(r.inUse(t)) == 3 && !slices.Contains(r.inUse(t), now[0]) })
+	s.allServed(t, r, r.inUse(t))
+}
+
+// All of the subset fail together, though the list has them for ready: it is widened, and
+// requests are served.
+func TestSubsetLostTogether(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 8})
+	r := s.gateway(t, "gw-1", scopesHere)
+	first := r.inUse(t)
+	s.allServed(t, r, first)
+	for _, id := range first {
+		s.backends[id].failing.Store(true)
+	}
+	began := time.Now()
+	until(t, "requests are served by others", func() bool {
+		ok, _ := s.requests(t, r, 1)
+		return ok == 1
+	})
+	t.Logf("served again after %v", time.Since(began))
+	r.tells(t, "app.subset.widened:1|g", "app.subset.size:6|g", "app.known_backends:6|g")
+	now := r.inUse(t)
+	for _, id := range first {
+		if !slices.Contains(now, id) {
+			t.Errorf("%s has left the subset as that was widened", id)
+		}
+	}
+}
+
+// A reload changes the scopes and the subset of a gateway that has them, and no others.
+func TestReloadOfScopes(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 8, checkoutThere: 5, otherService: 2})
+	r := s.gateway(t, "gw-1", scopesHere)
+	reload := func(keys string) {
+		t.Helper()
+		c, err := parseConfig([]byte(s.config("gw-1", keys)))
+		r.reloads <- Reload{Config: c, Err: err}
+	}
+	reload(`"scopes": ["checkout@region=us"], "subset": {"size": 3}`)
+	there := s.bestOf("gw-1", checkoutThere)
+	until(t, "the other scope is in use", func() bool { return slices.Equal(r.inUse(t), there) })
+	s.allServed(t, r, there)
+	r.tells(t, "app.loads:1|c", "app.subset.candidates:5|g", "app.known_backends:3|g")
+
+	reload(`"scopes": ["checkout@region=us"], "subset": {"size": 4}`)
+	until(t, "the subset is larger", func() bool { return len(r.inUse(t)) == 4 })
+	s.allServed(t, r, r.inUse(t))
+
+	for n, bad := range []string{`"subset": {"size": 4}`, `"scopes": ["checkout"]`, `"scopes": ["checkout"], "subset": {"size": 0}`,
+		`"scopes": ["checkout", "search"], "subset": {"size": 4}`} {
+		reload(bad)
+		r.tells(t, fmt.Sprintf("app.load_errors:%d|c", n+1), "app.loads:2|c")
+	}
+	s.allServed(t, r, r.inUse(t))
+}
+
+// Scopes alone, without a subset, give the gateway all that is in them.
+func TestScopesAlone(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 4, checkoutThere: 2, otherService: 2})
+	r := s.gateway(t, "gw-1", `"scopes": ["checkout@region=eu", "checkout@zone=b", "checkout@region=none"]`)
+	r.tells(t, "app.known_backends:6|g")
+	if _, text := r.operate(t, "GET", "/control/counters"); strings.Contains(text, "subset") {
+		t.Errorf("figures of a subset that is off:\n%s", text)
+	}
+	s.allServed(t, r, r.inUse(t))
+}
+
+func TestScopesConfig(t *testing.T) {
+	t.Parallel()
+	text := func(keys string) []byte {
+		return []byte(strings.Replace(configText("127.0.0.1:1", testSettings), `"counter"`, keys+`, "counter"`, 1))
+	}
+	const services = `"registries": ["127.0.0.1:1"]`
+	for _, good := range []struct {
+		keys string
+		want scopesConfig
+	}{
+		{services, scopesConfig{}},
+		{services + `, "scopes": null, "subset": null`, scopesConfig{}},
+		{services + `, "subset": {}`, scopesConfig{}},
+		{services + `, "scopes": ["checkout@zone=a", "checkout@region=eu"], "subset": {"size": 100, "coverage": 20}`,
+			scopesConfig{[]registry.Scope{{Service: "checkout", Zone: "a"}, {Service: "checkout", Region: "eu"}},
+				subset.Settings{Size: 100, Coverage: 20, Fleet: 2}}},
+	} {
+		c, err := parseConfig(text(good.keys))
+		if err != nil || !reflect.DeepEqual(c.Scopes, good.want) {
+			t.Errorf("%s: %+v, %v", good.keys, c.Scopes, err)
+		}
+	}
+	for _, bad := range []struct{ keys, says string }{
+		{`"scopes": ["checkout"]`, "registries is missing"},
+		{`"subset": {"size": 5}`, "registries is missing"},
+		{services + `, "scopes": []`, "there are none"},
+		{services + `, "scopes": [""]`, "scope"},
+		{services + `, "scopes": ["checkout@rack=7"]`, "rack=7"},
+		{services + `, "scopes": ["checkout", "search"]`, "no routes by service"},
+		{services + `, "scopes": "checkout"`, ".Scopes"},
+		{services + `, "subset": {"size": -1}`, "size of -1"},
+		{services + `, "subset": {"size": 1000000}`, "size of 1000000"},
+		{services + `, "subset": {"coverage": -3}`, "coverage of -3"},
+	} {
+		_, err := parseConfig(text(bad.keys))
+		if err == nil || !strings.Contains(err.Error(), bad.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one of %q", bad.keys, err, bad.says)
+		}
+	}
+}
+
+// Of a list known from before, what is in the scopes counts.
+func TestKnownListInScopes(t *testing.T) {
+	known := Listing{Instances: []Instance{{ID: "b-1", Service: "checkout"}, {ID: "b-2", Service: "search"}, {ID: "b-3"}}}
+	c := scopesConfig{scopes: []registry.Scope{{Service: "checkout"}}}
+	if got := c.cached(known); len(got.Instances) != 1 || got.Instances[0].ID != "b-1" || len(known.Instances) != 3 {
+		t.Errorf("%+v of %+v", got, known)
+	}
+	if got := (&scopesConfig{}).cached(known); len(got.Instances) != 3 {
+		t.Errorf("%+v without scopes", got)
+	}
+}
