Gateway: an operator's offline holds for backends outside the subset

A call to take a backend out was answered 404 by gateways whose subset lacks it, and one that took it in later, as its subset widened, would have used it. The loop keeps the word and the module has it before the backend enters, as one that drains. It goes to the next process with the books.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -31,6 +32,7 @@
 	Listing Listing
 	Plans   []string // the customers' books go by their numbers
 	Rules   rules.Books
+	Outside []string `json:",omitempty"` // backends outside the subset that are out by hand
 }
 
 // note is one line between two processes of a gateway.
@@ -417,13 +419,17 @@
 			l.offline[k.ID] = true
 		}
 	}
+	if l.subset != nil {
+		l.outside = namedOnce(b.Outside)
+	}
 	l.handle(rules.Adopt{Books: b.Rules})
 }
 
 // handOver writes the books.
 func (l *Loop) handOver() books {
 	l.handle(rules.HandOver{})
-	b := books{Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver}
+	b := books{Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver,
+		Outside: slices.Sorted(maps.Keys(l.outside))}
 	l.handedOver = rules.Books{}
 	for _, i := range l.instances {
 		b.Listing.Instances = append(b.Listing.Instances, i)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -97,6 +97,7 @@
 	version    int64
 	subset     *backendSubset           // of the list that it is told; nil: all of it is used
 	offline    map[rules.BackendID]bool // by hand, as this process has heard
+	outside    map[string]bool          // of the subset, and out by hand
 	handedOver rules.Books
 	timers     timerHeap
 	actions    []rules.Action
@@ -115,7 +116,9 @@
 	if c.Members.Membership {
 		l.contact = &contact{}
 	}
-	l.subset = newBackendSubset(c.Name, c.Scopes.subset, f.subset)
+	if l.subset = newBackendSubset(c.Name, c.Scopes.subset, f.subset); l.subset != nil {
+		l.outside = map[string]bool{}
+	}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -359,9 +362,12 @@
 // hears of it: a dial that waits must not become an attempt.
 func (l *Loop) ban(id string, offline bool) (known bool) {
 	b := backendID(id)
-	if i, listed := l.instances[b]; listed && i.ID != id || !l.gateway.Knows(b) {
+	if i, listed := l.instances[b]; listed && i.ID != id {
 		return false
 	}
+	if !l.gateway.Knows(b) {
+		return l.banOutside(id, offline)
+	}
 	if offline {
 		l.pools.renew(b)
 	}
--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -225,5 +225,41 @@
 	if l.subset.note() {
 		l.handle(rules.Retune{Settings: l.settings()})
 	}
+	for _, i := range chosen.Instances {
+		if i.Lifecycle == registry.Ready && l.outside[i.ID] {
+			l.enterBanned(i)
+		}
+	}
 	l.list(chosen, kind)
 }
+
+// banOutside keeps an operator's word on a backend outside the subset, which the module
+// does not know, for when it enters.
+func (l *Loop) banOutside(id string, offline bool) (known bool) {
+	if l.subset == nil || !l.outside[id] && !l.subset.selector.Listed(id) {
+		return false
+	}
+	if delete(l.outside, id); offline {
+		l.outside[id] = true
+	}
+	slog.Info("by hand, outside the subset", "backend", id, "offline", offline)
+	return true
+}
+
+// namedOnce returns the set of names.
+func namedOnce(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
+// enterBanned makes a backend known to the module that is out by hand. It enters as one
+// that drains, since nothing may go there before the module has the operator's word.
+func (l *Loop) enterBanned(i Instance) {
+	delete(l.outside, i.ID)
+	i.Lifecycle = registry.Terminating
+	l.list(Listing{Instances: []Instance{i}}, rules.Delta)
+	l.ban(i.ID, true)
+}
--- a/internal/gateway/scopes_test.go
+++ b/internal/gateway/scopes_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
@@ -17,6 +19,7 @@
 
 	"dunlintray/internal/registry"
 	"dunlintray/internal/subset"
+	"dunlintray/rules"
 )
 
 // scopedList is a list service with backends in several scopes.
@@ -302,6 +305,70 @@
 	}
 }
 
+// An operator's word holds for a backend outside the subset too, from the moment that it
+// enters, and in the process that comes next.
+func TestByHandOutsideTheSubset(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 4})
+	l, dir := newPlatform(t)
+	start := func() *rig {
+		c, err := parseConfig([]byte(s.config("gw-1", scopesHere)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.HandoverDir = dir
+		r := &rig{ended: make(chan error, 1)}
+		r.serve(t, &c, duplicate(t, l))
+		r.until(t, http.StatusOK)
+		return r
+	}
+	old := start()
+	first := old.inUse(t)
+	last := ""
+	for id := range s.backends {
+		if !slices.Contains(first, id) {
+			last = id
+		}
+	}
+	for _, call := range []struct {
+		path   string
+		status int
+	}{{"none/offline", 404}, {"none/online", 404}, {last + "/offline", 200}, {last + "/online", 200}, {last + "/offline", 200}} {
+		if status, text := old.operate(t, "POST", "/control/backends/"+call.path); status != call.status {
+			t.Errorf("%s: %d %s", call.path, status, text)
+		}
+	}
+	until(t, "the next process can take over", func() bool { _, err := os.Stat(filepath.Join(dir, handoverName)); return err == nil })
+	next := start()
+	next.tells(t, "app.subset.chosen:3|g", "app.skipped_backends:0|g")
+	s.drain(t, first[0]) // now the last one enters
+	for _, r := range []*rig{old, next} {
+		r.tells(t, "app.known_backends:4|g", "app.skipped_backends:2|g")
+	}
+	s.allServed(t, next, first[1:]) // by either process, as they have one socket
+	if status, _ := next.operate(t, "POST", "/control/backends/"+last+"/online"); status != 200 {
+		t.Errorf("back: %d", status)
+	}
+	for _, r := range []*rig{old, next} {
+		r.tells(t, "app.known_backends:4|g", "app.skipped_backends:1|g")
+	}
+}
+
+// duplicate returns another listener of the same socket.
+func duplicate(t *testing.T, shared net.Listener) net.Listener {
+	t.Helper()
+	f, err := shared.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // A reload changes the scopes and the subset of a gateway that has them, and no others.
 func TestReloadOfScopes(t *testing.T) {
 	t.Parallel()
@@ -394,3 +461,29 @@
 		t.Errorf("%+v without scopes", got)
 	}
 }
+
+// The module is told how many gateways share a backend, and again only when that has
+// changed by a tenth.
+func TestSharing(t *testing.T) {
+	t.Parallel()
+	of := func(first, last int) Listing {
+		l := Listing{Reset: first == 0}
+		for n := first; n < last; n++ {
+			l.Instances = append(l.Instances, Instance{ID: fmt.Sprint("b-", n), Lifecycle: registry.Ready})
+		}
+		return l
+	}
+	s := newBackendSubset("gw-1", subset.Settings{Size: 10, Fleet: 500}, &subsetFigures{})
+	for _, step := range []struct {
+		first, last, sharing int
+		told                 bool
+	}{{0, 100, 50, true}, {100, 105, 50, false}, {105, 200, 25, true}, {200, 250, 20, true}} {
+		s.choose(0, of(step.first, step.last), rules.Delta)
+		if told := s.note(); told != step.told || s.sharing != step.sharing {
+			t.Errorf("of %d: shared by %d, told %t", step.last, s.sharing, told)
+		}
+	}
+	if got := s.figures.candidates.Load(); got != 250 {
+		t.Errorf("%d candidates", got)
+	}
+}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -112,6 +112,12 @@
 	return registry.Listing{Generation: s.version, Instances: s.tell(now, nil)}
 }
 
+// Listed tells whether the list has an instance, in the subset or not.
+func (s *Selector) Listed(id string) bool {
+	_, listed := s.index[id]
+	return listed
+}
+
 // Stats describe the subsets of all services together.
 type Stats struct {
 	Candidates int // instances that the list has
