A gateway keeps its scopes until a list service knows one of the new ones

Need: a reload that names a service which no list service knows, by a misspelt name say, took the scopes in force away at once: the gateway's list became empty and nothing was served.

Change: from the reload on the gateway reads both, and drops the scopes in force once an answer to both says that one of the new ones is known (scopeChange). The client hands on the first answer to other scopes, also where nothing in it is new, and says to which scopes an answer is.

TestReloadOfUnknownScopes fails without it: the backends in use are none.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -73,7 +73,8 @@
 	services   *registry.Client // nil where discovery is asked
 	address    string           // of discovery
 	registries []string
-	scopes     []registry.Scope
+	scopes     []registry.Scope // of the configuration
+	change     scopeChange
 	moves      chan string
 	moved      chan []string
 }
@@ -91,9 +92,13 @@
 		var unknown unknownScopes
 		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) {
 			unknown.see(told.Unknown)
+			if scopes, changed := f.change.answered(told.Scopes, told.Unknown); changed {
+				f.services.SetScopes(scopes)
+			}
 			tell(told.News, told.History)
 		})
 		if len(f.scopes) > 0 {
+			f.change.inForce = f.scopes
 			f.services.SetScopes(f.scopes)
 		}
 	} else {
@@ -115,7 +120,7 @@
 func (f *listFollower) move(ctx context.Context, next *Config) {
 	if f.services != nil && !slices.Equal(f.scopes, next.Scopes.scopes) {
 		f.scopes = next.Scopes.scopes
-		f.services.SetScopes(f.scopes)
+		f.services.SetScopes(f.change.begin(f.scopes))
 	}
 	switch {
 	case f.services != nil && len(next.Registries) > 0 && !slices.Equal(f.registries, next.Registries):
--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"dunlintray/internal/registry"
@@ -82,6 +83,47 @@
 	return known
 }
 
+// scopeChange moves a reader from scopes to others. The scopes in force stay beside the
+// next ones until a list service knows one of these, so that a name that is misspelt in a
+// configuration leaves the gateway with the backends that it had.
+type scopeChange struct {
+	mu      sync.Mutex
+	inForce []registry.Scope
+	next    []registry.Scope // nil: nothing changes
+}
+
+// begin starts a change, in place of one that is under way, and returns what to read.
+func (c *scopeChange) begin(next []registry.Scope) []registry.Scope {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = next
+	return c.both()
+}
+
+// both returns the scopes in force and the next ones. The caller has the lock.
+func (c *scopeChange) both() []registry.Scope { return slices.Concat(c.inForce, c.next) }
+
+// answered takes in which of the scopes of an answer are unknown. It returns what to read
+// from now on, and whether that has changed.
+func (c *scopeChange) answered(scopes *registry.ScopeSet, unknown []registry.Scope) ([]registry.Scope, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == nil {
+		return nil, false
+	}
+	asked, err := registry.NewScopeSet(c.both())
+	if err != nil || asked.ID() != scopes.ID() {
+		return nil, false // the answer to an earlier call
+	}
+	known := func(scope registry.Scope) bool { return !slices.Contains(unknown, scope) }
+	if !slices.ContainsFunc(c.next, known) {
+		slog.Warn("scopes in force stay, as no list service knows the new ones")
+		return nil, false
+	}
+	c.inForce, c.next = c.next, nil
+	return c.inForce, true
+}
+
 // unknownScopes logs the scopes that list services do not know, once for each change.
 type unknownScopes struct{ last []registry.Scope }
 
--- a/internal/gateway/scopes_test.go
+++ b/internal/gateway/scopes_test.go
@@ -487,3 +487,73 @@
 		t.Errorf("%d candidates", got)
 	}
 }
+
+// A gateway whose new scopes no list service knows goes on with those that it had, and
+// takes the new ones once there is such a service.
+func TestReloadOfUnknownScopes(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 4})
+	r := s.gateway(t, "gw-1", scopesHere)
+	had := s.bestOf("gw-1", checkoutHere)
+	until(t, "the scope is in use", func() bool { return slices.Equal(r.inUse(t), had) })
+
+	c, err := parseConfig([]byte(s.config("gw-1", `"scopes": ["chekcout"], "subset": {"size": 3}`)))
+	r.reloads <- Reload{Config: c, Err: err}
+	r.tells(t, "app.loads:1|c")
+	before := s.version(t)
+	s.drain(t, had[0]) // which is heard in the union of both, and so behind its first answer
+	until(t, "the drain was heard", func() bool { return r.view(t).Version > before })
+	if got := r.inUse(t); len(got) != len(had) || slices.Contains(got, had[0]) {
+		t.Errorf("in use after a reload with an unknown scope: %v, before %v", got, had)
+	}
+	s.allServed(t, r, r.inUse(t))
+
+	place := registry.Placement{Service: "chekcout", Region: "us", Zone: checkoutHere.Zone}
+	b := &scopedBackend{placement: place}
+	b.server = httptest.NewServer(b)
+	t.Cleanup(b.server.Close)
+	s.backends["late"] = b
+	s.register(t, "late")
+	until(t, "the new scope is in use", func() bool { return slices.Equal(r.inUse(t), []string{"late"}) })
+}
+
+// The scopes in force stay until an answer to both says that one of the next is known.
+func TestScopeChange(t *testing.T) {
+	scopesOf := func(texts ...string) []registry.Scope {
+		scopes, err := registry.ParseScopes(texts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return scopes
+	}
+	set := func(texts ...string) *registry.ScopeSet {
+		s, err := registry.NewScopeSet(scopesOf(texts...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	c := scopeChange{inForce: scopesOf("a")}
+	if _, changed := c.answered(set("a"), nil); changed {
+		t.Error("an answer changes the scopes of a reader that keeps them")
+	}
+	if read := c.begin(scopesOf("b", "c")); !slices.Equal(read, scopesOf("a", "b", "c")) {
+		t.Errorf("reads %v while the scopes change", read)
+	}
+	for name, answer := range map[string]struct {
+		of      *registry.ScopeSet
+		unknown []registry.Scope
+	}{
+		"an answer to the call before":     {set("a"), nil},
+		"an answer that knows none":        {set("a", "b", "c"), scopesOf("b", "c")},
+		"an answer to scopes of long ago":  {set("a", "d"), scopesOf("b")},
+		"an answer with the old one alone": {nil, nil},
+	} {
+		if _, changed := c.answered(answer.of, answer.unknown); changed {
+			t.Errorf("%s ends the scopes in force", name)
+		}
+	}
+	if read, changed := c.answered(set("a", "b", "c"), scopesOf("c")); !changed || !slices.Equal(read, scopesOf("b", "c")) {
+		t.Errorf("reads %v, changed %v, once a scope is known", read, changed)
+	}
+}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -54,13 +54,14 @@
 	rescope  chan struct{} // says so to a Run that waits
 }
 
-// Told is an answer that tells something new.
+// Told is an answer that tells something new, or the first one to other scopes.
 type Told struct {
 	Listing         // as it came
 	News    Listing // what of it is news for this reader; the instances of dropped scopes are Gone
 	History string
-	Epoch   int64   // of the writer; 0: not told
-	Unknown []Scope // of the scopes asked for, those whose service the list service does not know
+	Epoch   int64 // of the writer; 0: not told
+	Scopes  *ScopeSet
+	Unknown []Scope // of Scopes, those whose service the list service does not know
 }
 
 // NewClient calls heard, one at a time, with each answer that tells something new.
@@ -183,8 +184,8 @@
 	}
 	c.heardAt.Store(time.Now().Add(-a.age).UnixNano())
 	unknown := c.feed.Unknown()
-	if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since || !slices.Equal(before, unknown) {
-		c.heard(Told{a.listing, news, a.history, a.epoch, unknown})
+	if news.Reset || len(news.Instances) > 0 || news.Generation != ask.Since || !ask.Waits() || !slices.Equal(before, unknown) {
+		c.heard(Told{a.listing, news, a.history, a.epoch, ask.Scopes, unknown})
 	}
 	return nil
 }
