--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -443,6 +445,88 @@
 	}
 }
 
+// BenchmarkScopedWatch counts the processor time of one change with so many watchers that
+// wait, each with scopes of its own: all wake, and one in a hundred is answered.
+func BenchmarkScopedWatch(b *testing.B) {
+	for _, watchers := range []int{100, 1000, 3000} {
+		b.Run(fmt.Sprint(watchers, "watchers"), func(b *testing.B) {
+			s, questions := scopedWatchers(b, watchers)
+			ctx, stop := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer stop()
+			answered := make(chan int64, watchers)
+			for _, q := range questions {
+				wg.Go(func() {
+					for q := *q; ; {
+						found, err := s.await(ctx, q, time.Hour)
+						if err != nil {
+							return
+						}
+						var l Listing
+						json.Unmarshal(found.body, &l)
+						q.Since = l.Generation
+						answered <- l.Generation
+					}
+				})
+			}
+			for s.figures.watchers.Load() < int64(watchers) {
+				runtime.Gosched()
+			}
+			before := processorTime(b)
+			b.ResetTimer()
+			for n := range b.N {
+				_, err := s.change(func(now time.Duration) (Written, error) {
+					s.wokenAt = time.Time{} // no waiting for further changes
+					i := of(fmt.Sprint("x", n%100), fmt.Sprint("common", n%100), "r", "z")
+					i.StartedAtMs = int64(n + 2)
+					return s.store.Register(now, i, nil)
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				for range watchers / 100 {
+					<-answered
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu_us/op")
+		})
+	}
+}
+
+// processorTime is what this process has used of it.
+func processorTime(t testing.TB) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkScopeSet counts the memory of a set of so many scopes.
+func BenchmarkScopeSet(b *testing.B) {
+	for _, n := range []int{1, 50, 500, 4096} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var scopes []Scope
+			for m := range n {
+				scopes = append(scopes, Scope{Service: fmt.Sprint("service-", m), Region: fmt.Sprint("eu-", m%9)})
+			}
+			sets := make([]*ScopeSet, 64)
+			before := heap()
+			for m := range sets {
+				sets[m], _ = NewScopeSet(scopes)
+			}
+			perSet := float64(heap()-before) / float64(len(sets))
+			for b.Loop() {
+				NewScopeSet(scopes)
+			}
+			runtime.KeepAlive(sets)
+			b.ReportMetric(perSet, "B/set")
+		})
+	}
+}
+
 // scopedWatchers are questions of so many watchers that are at the last version, each of
 // ten services of its own and one that it has in common with one in a hundred.
 func scopedWatchers(t testing.TB, watchers int) (*Server, []*ScopedRead) {
