--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -558,7 +558,7 @@
 	}
 	answered := 0
 	for _, q := range questions {
-		found, _, err := s.look(q, false)
+		found, err := s.look(q, false)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/registry/scope_model_test.go
+++ b/internal/registry/scope_model_test.go
@@ -21,6 +21,8 @@
 	defectFoldFollower  = "folding: a follower is not told where instances were meanwhile"
 	defectFoldFirst     = "folding: of the changes to an instance the first is told"
 	defectResumeSkips   = "resumption: a watch that waits passes over changes"
+	defectResumeAsleep  = "resumption: a watch that a change concerns sleeps on"
+	defectResumePassed  = "resumption: a watch is moved on past a change that concerns it"
 	defectResumeForgets = "resumption: changes before a follower's whole list count as known"
 	defectResumeHistory = "resumption: a history goes on in another"
 	defectResumeAhead   = "resumption: an answer claims a later version"
@@ -35,9 +37,10 @@
 
 // pendingCall is a watch that a service has not answered.
 type pendingCall struct {
-	service  *Server
-	ask      Ask
-	question ScopedRead
+	service *Server
+	ask     Ask
+	watch   *scopedWatch
+	news    <-chan struct{}
 }
 
 // modelList is the list at a version, and the services that are known then.
@@ -143,6 +146,7 @@
 		}
 	}
 	w.models[at(store.history, store.version)] = list
+	w.wake(w.writer)
 	if w.defect == defectFoldMoves {
 		for n := range store.changes {
 			if p := store.changes[n].places; p != nil {
@@ -152,6 +156,19 @@
 	}
 }
 
+// wake lets a service wake the watches that its news concern.
+func (w *scopedWorld) wake(s *Server) {
+	switch w.defect {
+	case defectResumeAsleep:
+		return
+	case defectResumePassed:
+		for watch := range s.watches {
+			watch.question.Since = max(watch.question.Since, s.store.version)
+		}
+	}
+	s.wakeNow()
+}
+
 func restricted(list map[string]Instance, scopes *ScopeSet) map[string]Instance {
 	part := map[string]Instance{}
 	for id, i := range list {
@@ -189,7 +206,8 @@
 }
 
 // look has a service look at a question once, through the planted defect.
-func (w *scopedWorld) look(s *Server, question *ScopedRead, last bool) (awaited, error) {
+func (w *scopedWorld) look(call *pendingCall, last bool) (awaited, error) {
+	s, question := call.service, &call.watch.question
 	s.began = time.Now().Add(-w.now)
 	asked := *question
 	switch w.defect {
@@ -205,7 +223,8 @@
 		s.store.dropAnswers()
 		s.store.changes = foldedToFirst(kept, question.Since)
 	}
-	found, _, err := s.look(question, last)
+	found, news, err := s.lookFor(call.watch, last)
+	call.news = news
 	if w.defect == defectResumeHistory && asked.Since >= 0 && asked.History != "" {
 		found.history = asked.History
 	}
@@ -234,6 +253,9 @@
 func (w *scopedWorld) read(r *scopedReader, last bool) {
 	call := r.pending
 	r.pending = nil
+	if call != nil {
+		call.service.endWatch(call.watch)
+	}
 	if call != nil && call.service != w.service(call.ask.Address) {
 		r.feed.Failed(0) // the service has been replaced under the call
 		return
@@ -241,19 +263,28 @@
 	waited := call != nil
 	if !waited {
 		ask := r.feed.Next()
-		call = &pendingCall{w.service(ask.Address), ask, ScopedRead{Since: ask.Since, History: ask.History, Scopes: ask.Scopes, Held: ask.Held}}
+		question := ScopedRead{Since: ask.Since, History: ask.History, Scopes: ask.Scopes, Held: ask.Held}
 		if ask.Whole {
-			call.question.Since, call.question.Held = -1, ask.Scopes
+			question.Since, question.Held = -1, ask.Scopes
 		}
-		if call.question.joins() {
+		if question.joins() {
 			w.joins++
 		}
+		call = &pendingCall{service: w.service(ask.Address), ask: ask, watch: newScopedWatch(question)}
 	}
 	if waited && w.defect == defectResumeSkips {
-		call.question.Since = max(call.question.Since, call.service.store.version)
+		call.watch.question.Since = max(call.watch.question.Since, call.service.store.version)
 	}
 	last = last || !call.ask.Waits() || w.random.IntN(3) == 0
-	found, err := w.look(call.service, &call.question, last)
+	if waited && !last && len(call.news) == 0 && call.ask.Scopes != nil { // nobody wakes it
+		if q, store := call.watch.question, call.service.store; q.Since <= store.version && !store.Quiet(q) {
+			w.failf("a watch that is at %s/%d is not woken at %s/%d", q.History, q.Since, store.history, store.version)
+		}
+		call.service.watches[call.watch] = struct{}{}
+		r.pending = call
+		return
+	}
+	found, err := w.look(call, last)
 	switch {
 	case err != nil:
 		r.feed.Failed(0)
@@ -362,7 +393,10 @@
 	default:
 		set(w.randomScopes())
 	}
-	r.pending = nil
+	if r.pending != nil { // its call is ended
+		r.pending.service.endWatch(r.pending.watch)
+		r.pending = nil
+	}
 }
 
 // follow takes a follower's next step.
@@ -374,7 +408,7 @@
 	}
 	source := w.service(f.source)
 	source.began = time.Now().Add(-w.now)
-	found, _, err := source.look(&question, true)
+	found, err := source.look(&question, true)
 	if err != nil || w.random.IntN(6) == 0 {
 		f.copying.Failed(0)
 		return
@@ -395,6 +429,7 @@
 	if err := store.Copy(w.now, l, found.history); err != nil {
 		w.t.Fatal(err)
 	}
+	w.wake(f.service)
 	if w.defect == defectResumeForgets && l.Reset {
 		store.from = 0
 	}
@@ -536,7 +571,7 @@
 // changes or the resumption of a watch.
 func TestScopesModelFindsDefects(t *testing.T) {
 	for _, defect := range []string{defectScopeHeld, defectScopeStays, defectScopeLate, defectFoldMoves, defectFoldFollower,
-		defectFoldFirst, defectResumeSkips, defectResumeForgets, defectResumeHistory, defectResumeAhead} {
+		defectFoldFirst, defectResumeSkips, defectResumeAsleep, defectResumePassed, defectResumeForgets, defectResumeHistory, defectResumeAhead} {
 		const seeds = 5
 		var found error
 		for seed := uint64(0); seed < seeds && found == nil; seed++ {
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -48,6 +48,7 @@
 	listsAt    time.Time
 	random     *rand.Rand
 	subscribed *subscriptions
+	watches    map[*scopedWatch]struct{} // of scopes, that wait
 
 	keeper  *keeper        // makes changes last; nil: nothing does
 	agreed  *agreed        // of a list that a group agrees on; else nil
@@ -64,7 +65,7 @@
 // NewWriter serves a store of its own at an address that others know.
 func NewWriter(self string, store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
 	limits = limits.withDefaults()
-	return &Server{self: self, limits: limits, store: store, subscribed: newSubscriptions(), began: began, news: make(chan struct{}), random: random,
+	return &Server{self: self, limits: limits, store: store, subscribed: newSubscriptions(), watches: map[*scopedWatch]struct{}{}, began: began, news: make(chan struct{}), random: random,
 		lists: limits.Lists, listsAt: began, leaving: make(chan struct{}), ended: make(chan struct{})}
 }
 
@@ -168,6 +169,7 @@
 	s.wokenAt = time.Now()
 	close(s.news)
 	s.news = make(chan struct{})
+	s.passOver()
 }
 
 func (s *Server) between(least, most time.Duration) time.Duration {
--- a/internal/registry/watches.go
+++ b/internal/registry/watches.go
@@ -96,8 +96,57 @@
 	epoch   int64
 }
 
-// await waits for an answer. A reader of scopes that waits looks at each change once: as
-// long as none concerns it, it is as good as at the version that it has looked at.
+// scopedWatch is a reader of scopes that waits. What it asks is moved on with the list as
+// long as no change concerns it, by who makes the changes: a thousand readers that each woke
+// to look took nine times as much processor time (BenchmarkScopedWatch).
+type scopedWatch struct {
+	question  ScopedRead    // the server's while the watch waits
+	concerned chan struct{} // has one when there may be something for it
+}
+
+func newScopedWatch(question ScopedRead) *scopedWatch {
+	return &scopedWatch{question, make(chan struct{}, 1)}
+}
+
+// passOver moves on the watches of scopes that nothing new concerns, and wakes the others.
+// The caller has the lock.
+func (s *Server) passOver() {
+	for watch := range s.watches {
+		if s.store.fence == nil && s.store.Quiet(watch.question) {
+			watch.question.Since = s.store.version
+			continue
+		}
+		select {
+		case watch.concerned <- struct{}{}:
+		default: // it has been woken
+		}
+	}
+}
+
+// lookFor looks for a watch. If there is nothing new, the watch waits until endWatch, and
+// the channel has something, or is closed, when there may be.
+func (s *Server) lookFor(watch *scopedWatch, last bool) (found awaited, news <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, err = s.look(&watch.question, last)
+	switch {
+	case err != nil || found.body != nil:
+		return found, nil, err
+	case watch.question.Scopes == nil:
+		return awaited{}, s.news, nil
+	}
+	s.watches[watch] = struct{}{}
+	return awaited{}, watch.concerned, nil
+}
+
+// endWatch ends a watch.
+func (s *Server) endWatch(watch *scopedWatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watches, watch)
+}
+
+// await waits for an answer.
 func (s *Server) await(ctx context.Context, q ScopedRead, wait time.Duration) (awaited, error) {
 	if wait > 0 {
 		defer s.figures.watchers.Add(-1)
@@ -108,8 +157,12 @@
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	leaving := s.leaving
+	watch := newScopedWatch(q)
+	if q.Scopes != nil && wait > 0 {
+		defer s.endWatch(watch)
+	}
 	for last := wait <= 0; ; {
-		found, news, err := s.look(&q, last)
+		found, news, err := s.lookFor(watch, last)
 		if err != nil || found.body != nil {
 			return found, err
 		}
@@ -127,17 +180,15 @@
 	}
 }
 
-// look looks for an answer once. Without a body there is nothing new yet, and the channel is
-// closed when there may be; the question is then moved on to the version that was looked
-// at. The last look always has an answer.
-func (s *Server) look(q *ScopedRead, last bool) (found awaited, news <-chan struct{}, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// look looks for an answer once. Without a body there is nothing new yet, and a question
+// about scopes is moved on to the version that was looked at, so that each change is looked
+// at once. The last look always has an answer. The caller has the lock.
+func (s *Server) look(q *ScopedRead, last bool) (found awaited, err error) {
 	now := s.now()
 	fenced := s.refuseFenced()
 	if q.Scopes != nil && !last && fenced == nil && s.store.readable(now) == nil && s.store.Quiet(*q) {
 		q.Since = s.store.version
-		return awaited{}, s.news, nil
+		return awaited{}, nil
 	}
 	var a Answer
 	if q.Scopes == nil {
@@ -151,11 +202,11 @@
 	switch ahead := s.writer.Load() != nil && q.Since > s.store.version && q.History == s.store.history; {
 	case ahead && !last: // a follower will know by and by
 	case err != nil:
-		return awaited{}, nil, err
+		return awaited{}, err
 	case a.Whole && !s.mayList(s.store.listCost(*q)):
-		return awaited{}, nil, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
+		return awaited{}, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
 	case !a.Nothing || last:
-		return awaited{a.Body, s.store.history, s.store.epoch}, nil, nil
+		return awaited{a.Body, s.store.history, s.store.epoch}, nil
 	}
-	return awaited{}, s.news, nil
+	return awaited{}, nil
 }
