Readers are not led back to an older history by a follower that lags

A history at a lower version than what is had is taken only if no other address answers, and one that was left is taken again only at a higher version, after a whole round without an answer.

--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -19,7 +19,7 @@
 
 var (
 	errOlder   = errors.New("the list is older than the one that is had")
-	errLeft    = errors.New("the list is of a history that was left")
+	errLeft    = errors.New("the list is of a history that was left, or is older")
 	errNoWhole = errors.New("changes of a history that is not known")
 
 	// errScopesChanged says that an answer is to a call made before the reader's scopes
@@ -112,7 +112,7 @@
 		return Listing{}, errScopesChanged
 	case f.listed && history == f.history && l.Generation < f.version:
 		return Listing{}, errOlder
-	case history != f.history && slices.Contains(f.past, history):
+	case f.listed && history != f.history && !f.mayLeaveFor(history, l.Generation):
 		return Listing{}, errLeft
 	case (!f.listed || history != f.history) && !l.Reset:
 		return Listing{}, errNoWhole
@@ -166,6 +166,19 @@
 	return news, nil
 }
 
+// mayLeaveFor reports whether another history may be taken in place of the one that is had.
+// Each begins at a higher version than those before it, unless a writer's clock was wrong.
+// So one at a lower version is most likely the older, of a follower that lags, and is taken
+// only if no other address has an answer. A history that was left is taken again only if it
+// is at a higher version and no address has had an answer in a whole round: then it was left
+// for an older one.
+func (f *Feed) mayLeaveFor(history string, version int64) bool {
+	if slices.Contains(f.past, history) {
+		return version > f.version && f.failures >= len(f.addresses)
+	}
+	return version > f.version || f.failures+1 >= len(f.addresses)
+}
+
 // admit finds the scopes that the service does not know, and refuses an answer with
 // instances that were not asked for.
 func (f *Feed) admit(ask Ask, l Listing) (unknown []Scope, err error) {
--- a/internal/registry/feed_test.go
+++ b/internal/registry/feed_test.go
@@ -52,6 +52,38 @@
 	}
 }
 
+// A follower that lags in a history that the reader never had does not lead it back, and a
+// reader that was led back comes to the later history again, as long as one has it.
+func TestFeedIsNotLedBack(t *testing.T) {
+	f := newTestFeed("a", "b", "c")
+	step := func(version int64, history string, want error) {
+		t.Helper()
+		if _, err := f.Answered(whole(version, inst("x", version)), history, 0); !errors.Is(err, want) {
+			t.Fatalf("%s/%d: %v, want %v", history, version, err, want)
+		}
+	}
+	step(100, "h1", nil)
+	step(300, "h3", nil)
+	step(200, "h2", errLeft) // of one that lags
+	f.Failed(0)
+	step(310, "h3", nil)
+	for range 2 { // nobody else answers
+		step(200, "h2", errLeft)
+		f.Failed(0)
+	}
+	step(200, "h2", nil)
+	for range 3 { // one that was left, in the first round
+		step(400, "h3", errLeft)
+		f.Failed(0)
+	}
+	step(110, "h1", errLeft) // older than what is had
+	step(400, "h3", nil)
+	f.Failed(0)
+	f.Failed(0)
+	f.Failed(0)
+	step(210, "h2", errLeft)
+}
+
 // At a failure the next address has its turn soon; after a round the pauses grow,
 // with jitter, to a bound, and not below what a service asks for.
 func TestFeedBacksOff(t *testing.T) {
