Registry: tests and counters of readers of scopes

Two hundred readers lose their follower and go on at another without their lists anew; a fuzz test of subscriptions; rows of the counters for operators.

--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -157,6 +157,25 @@
 	until(t, "the last scopes", func() bool { return w.ids() == "x01:R x02:R" })
 }
 
+func FuzzSubscription(f *testing.F) {
+	for _, text := range []string{`{"scopes":["a","b@region=r"]}`, `{"scopes":[]}`, `{"scopes":null}`, `{`, `{"scopes":["a@zone=z","a@zone=z"]}`} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		set, err := readSubscription(strings.NewReader(text), 1<<12, 10)
+		if err != nil {
+			if code := status(err); code != 400 && code != 413 {
+				t.Errorf("%v", err)
+			}
+			return
+		}
+		again, err := NewScopeSet(mustScopes(t, set.Strings()...))
+		if err != nil || set.Len() < 1 || set.Len() > 10 || again.ID() != set.ID() {
+			t.Errorf("%v, %v", set.Strings(), err)
+		}
+	})
+}
+
 // Scopes that make no sense, or are too many, are refused with one clear line.
 func TestBadSubscriptions(t *testing.T) {
 	t.Parallel()
@@ -330,6 +349,51 @@
 	}
 }
 
+// Readers that lose their follower all at once go on from where they are at another, and
+// hear of what has changed meanwhile, without their lists anew.
+func TestScopedReadersLoseTheirFollower(t *testing.T) {
+	t.Parallel()
+	const readers = 200
+	writer := newWriterService(t, testServes)
+	for n := range 20 {
+		writer.putPlaced(t, of(fmt.Sprint("x", n), fmt.Sprint("s", n), "r1", "z1"))
+	}
+	var followers []*service
+	for range 2 {
+		s, _ := newFollowerService(t, writer.address)
+		until(t, "the follower has the list", func() bool {
+			code, text, _ := call(t, "GET", s.url(""), "")
+			return code == 200 && strings.Count(text, "instanceId") == 20
+		})
+		followers = append(followers, s)
+	}
+	var all []*scopedWatching
+	for n := range readers {
+		all = append(all, watchScopes(t, []string{followers[0].address, followers[1].address}, fmt.Sprint("s", n%20), fmt.Sprint("own", n)))
+	}
+	for n, w := range all {
+		until(t, "a reader has its scopes", func() bool { return w.ids() == fmt.Sprintf("x%d:R", n%20) })
+	}
+	followers[0].stop()
+	for n := range 20 {
+		if code, text, _ := call(t, "POST", writer.url(fmt.Sprintf("/x%d/lifecycle", n)), `{"lifecycle":"Terminating","startedAtMs":1}`); code != 200 {
+			t.Fatalf("status %d: %s", code, text)
+		}
+	}
+	resets := 0
+	for n, w := range all {
+		until(t, "a reader hears of the drain", func() bool { return w.ids() == fmt.Sprintf("x%d:T", n%20) })
+		_, _, r := w.state()
+		resets += r
+	}
+	if resets != readers {
+		t.Errorf("%d lists anew for %d readers", resets-readers, readers)
+	}
+	if watching := followers[1].figures.watchers.Load(); watching > readers {
+		t.Errorf("%d watch at the other follower", watching)
+	}
+}
+
 // All that a reader of scopes asks goes over one connection.
 func TestScopesUseOneConnection(t *testing.T) {
 	t.Parallel()
@@ -495,6 +559,36 @@
 	}
 }
 
+// BenchmarkPassOver counts what it takes to look for so many watches whether a burst of a
+// thousand changes, none of which does, concerns them.
+func BenchmarkPassOver(b *testing.B) {
+	for _, watchers := range []int{100, 1000} {
+		b.Run(fmt.Sprint(watchers, "watchers"), func(b *testing.B) {
+			s, questions := scopedWatchers(b, watchers)
+			since := s.store.version
+			for n := range 1000 {
+				s.store.Register(0, of(fmt.Sprint("burst", n), fmt.Sprint("elsewhere", n%200), "r", "z"), nil)
+			}
+			for _, q := range questions {
+				s.watches[newScopedWatch(*q)] = struct{}{}
+			}
+			b.ResetTimer()
+			for range b.N {
+				for watch := range s.watches {
+					watch.question.Since = since
+				}
+				s.passOver()
+			}
+			for watch := range s.watches {
+				if watch.question.Since != s.store.version || len(watch.concerned) > 0 {
+					b.Fatal("a watch was woken")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(watchers)/1000, "ns/watch/change")
+		})
+	}
+}
+
 // processorTime is what this process has used of it.
 func processorTime(t testing.TB) time.Duration {
 	var usage syscall.Rusage
