Subset: widen by what is missing, and each step more slowly

A widened subset was sick while under half of all of it was usable, so a fault that leaves few of all instances usable, as an overload of the service does, widened every gateway to all instances within seconds. It is now sick while fewer are usable than half of its size at rest, and each further step takes twice the time.

--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -105,8 +105,7 @@
 	if !s.settings.On() {
 		return registry.Listing{}
 	}
-	size, more := s.extent()
-	if s.health.see(now, usable, size, more) {
+	if s.health.see(now, usable, s.extent()) {
 		s.fit()
 	}
 	return registry.Listing{Generation: s.version, Instances: s.tell(now, nil)}
@@ -130,26 +129,27 @@
 func (s *Selector) Stats() Stats {
 	stats := Stats{Candidates: len(s.index), Widened: s.health.width}
 	for _, g := range s.groups {
-		stats.Size += s.size(g)
+		stats.Size += s.size(g, s.health.width)
 		stats.Chosen += len(g.chosen.slots)
 	}
 	return stats
 }
 
-// extent returns how many instances all subsets should have, and whether there are
-// Ready ones beyond them.
-func (s *Selector) extent() (size int, more bool) {
+// extent is that of the subsets of all services together.
+func (s *Selector) extent() (e extent) {
 	for _, g := range s.groups {
-		size += s.size(g)
-		more = more || len(g.waiting.slots) > 0
+		e.base += s.size(g, 0)
+		e.size += s.size(g, s.health.width)
+		e.narrower += s.size(g, max(s.health.width-1, 0))
+		e.more = e.more || len(g.waiting.slots) > 0
 	}
-	return size, more
+	return e
 }
 
-// size is how many instances the subset of a service should have now.
-func (s *Selector) size(g *group) int {
+// size is how many instances the subset of a service should have at a width.
+func (s *Selector) size(g *group, width int) int {
 	size := s.settings.size(g.listed)
-	for range s.health.width {
+	for range width {
 		if size >= g.listed {
 			break
 		}
@@ -217,7 +217,7 @@
 			delete(s.groups, service)
 			continue
 		}
-		size := s.size(g)
+		size := s.size(g, s.health.width)
 		for len(g.chosen.slots) > size {
 			s.move(&g.chosen, &g.waiting)
 		}
