--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -84,7 +84,7 @@
 	known, skipped    atomic.Int64 // backends
 	up, down          transfers    // bodies to backends and to clients
 	bodies            budget       // of all bodies
-	subset            *subsetFigures
+	subset            *subsetMetrics
 	clients           *clients // their connections; nil before they are served
 
 	mu      sync.Mutex // of the list, not of the counts
@@ -94,7 +94,7 @@
 func newFigures(c *Config) *figures {
 	f := &figures{bodies: budget{total: bodyMemory(c.MemoryMB)}}
 	if c.Scopes.subset.On() {
-		f.subset = &subsetFigures{}
+		f.subset = &subsetMetrics{}
 	}
 	return f
 }
--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -97,11 +97,11 @@
 	slog.Warn("scopes that list services do not know", "scopes", texts)
 }
 
-// subsetFigures are what operators are told of the subset.
-type subsetFigures struct{ candidates, size, chosen, widened atomic.Int64 }
+// subsetMetrics are what operators are told of the subset.
+type subsetMetrics struct{ candidates, size, chosen, widened atomic.Int64 }
 
 // write puts the figures out. Of a gateway that uses all backends they are nil.
-func (f *subsetFigures) write(w io.Writer) {
+func (f *subsetMetrics) write(w io.Writer) {
 	if f == nil {
 		return
 	}
@@ -118,13 +118,13 @@
 type backendSubset struct {
 	selector *subset.Selector
 	settings subset.Settings
-	figures  *subsetFigures
+	figures  *subsetMetrics
 	listed   bool // a list has come from a list service
 	widened  int
 	sharing  int // gateways that use one backend, in the mean
 }
 
-func newBackendSubset(name string, settings subset.Settings, f *subsetFigures) *backendSubset {
+func newBackendSubset(name string, settings subset.Settings, f *subsetMetrics) *backendSubset {
 	if !settings.On() {
 		return nil
 	}
--- a/internal/gateway/scopes_test.go
+++ b/internal/gateway/scopes_test.go
@@ -473,7 +473,7 @@
 		}
 		return l
 	}
-	s := newBackendSubset("gw-1", subset.Settings{Size: 10, Fleet: 500}, &subsetFigures{})
+	s := newBackendSubset("gw-1", subset.Settings{Size: 10, Fleet: 500}, &subsetMetrics{})
 	for _, step := range []struct {
 		first, last, sharing int
 		told                 bool
--- a/internal/subset/candidate.go
+++ b/internal/subset/candidate.go
@@ -10,7 +10,7 @@
 type slot uint32
 
 // candidate is an instance of the list, in as few bytes as it takes to choose it and to
-// tell it later: the list's reader would not tell it again. Its strings are those that
+// notify it later: the list's reader would not tell it again. Its strings are those that
 // the reader holds.
 type candidate struct {
 	id, address string
@@ -21,10 +21,10 @@
 	cell        int32
 	heapAt      int32 // in the ranking that it is in
 	place       place
-	told        told
+	notified    notification
 	ready       bool // else Terminating
-	touched     bool // waits to be told
-	changed     bool // by the list, since it was told
+	touched     bool // waits to be announced
+	changed     bool // by the list, since it was announced
 }
 
 // place is which ranking a candidate is in.
@@ -36,13 +36,13 @@
 	inWaiting
 )
 
-// told is what the user of the subset knows of a candidate.
-type told uint8
+// notification is what the user of the subset knows of a candidate.
+type notification uint8
 
 const (
-	untold       told = iota
-	toldAsListed      // as the list has it
-	toldLeaving       // as Terminating, though the list has it for Ready
+	notNotified      notification = iota
+	notifiedAsListed              // as the list has it
+	notifiedLeaving               // as Terminating, though the list has it for Ready
 )
 
 // placement is what many instances have in common.
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -16,7 +16,7 @@
 )
 
 // Linger is how long an instance that has left the subset stays known as Terminating
-// before it is told as Gone. Its user keeps what it has learnt of it meanwhile (latency,
+// before it is announced as Gone. Its user keeps what it has learnt of it meanwhile (latency,
 // failures), so that a change that is taken back soon does not make it a new instance.
 const Linger = 30 * time.Second
 
@@ -33,7 +33,7 @@
 	placements map[placement]*sharedPlacement
 	groups     map[string]*group
 
-	touched   []slot                 // whose change has not been told yet
+	touched   []slot                 // whose change has not been announced yet
 	leaving   []departure            // in the order of their times
 	leavingBy map[slot]time.Duration // of those that still leave
 	health    health
@@ -44,7 +44,7 @@
 // work counts what choosing costs.
 type work struct{ hashes, comparisons int }
 
-// departure is the moment at which an instance that has left the subset is told as Gone,
+// departure is the moment at which an instance that has left the subset is announced as Gone,
 // unless it has come back, or left anew for a later moment.
 type departure struct {
 	at slot
@@ -67,23 +67,23 @@
 		return news
 	}
 	s.version = news.Generation
-	told := registry.Listing{Generation: news.Generation, Reset: news.Reset}
+	out := registry.Listing{Generation: news.Generation, Reset: news.Reset}
 	if news.Reset {
 		s.retain(news.Instances)
 	}
 	for _, instance := range news.Instances {
 		if instance.Lifecycle == registry.Gone {
-			told.Instances = s.remove(instance, told.Instances)
+			out.Instances = s.remove(instance, out.Instances)
 			continue
 		}
 		s.update(instance)
 	}
 	s.fit()
-	told.Instances = s.tell(now, told.Instances)
+	out.Instances = s.notify(now, out.Instances)
 	if news.Reset {
-		told.Instances = s.all(news.Instances)
+		out.Instances = s.all(news.Instances)
 	}
-	return told
+	return out
 }
 
 // Resize takes other settings, and returns what changes with them. It can't switch a
@@ -94,10 +94,10 @@
 	}
 	s.settings = settings
 	s.fit()
-	return registry.Listing{Generation: s.version, Instances: s.tell(now, nil)}
+	return registry.Listing{Generation: s.version, Instances: s.notify(now, nil)}
 }
 
-// Report tells how many instances are usable now: those told as Ready less those that
+// Report tells how many instances are usable now: those announced as Ready less those that
 // their user avoids by its own experience. It widens subsets that are sick and narrows
 // them again, and returns what changes by that and by the passing of time. Services are
 // judged together, since their user counts them together.
@@ -108,7 +108,7 @@
 	if s.health.see(now, usable, s.extent()) {
 		s.fit()
 	}
-	return registry.Listing{Generation: s.version, Instances: s.tell(now, nil)}
+	return registry.Listing{Generation: s.version, Instances: s.notify(now, nil)}
 }
 
 // Listed tells whether the list has an instance, in the subset or not.
@@ -197,13 +197,13 @@
 }
 
 // remove takes out an instance that the list tells as Gone, and adds that to the news
-// if it was told before.
+// if it was announced before.
 func (s *Selector) remove(instance registry.Instance, news []registry.Instance) []registry.Instance {
 	at, known := s.index[instance.ID]
 	if !known {
 		return news
 	}
-	if s.candidates[at].told != untold {
+	if s.candidates[at].notified != notNotified {
 		news = append(news, instance)
 	}
 	s.release(at)
@@ -242,16 +242,16 @@
 	}
 }
 
-// tell adds to the news what has changed for the user of the subset, and who has
+// notify adds to the news what has changed for the user of the subset, and who has
 // lingered for long enough.
-func (s *Selector) tell(now time.Duration, news []registry.Instance) []registry.Instance {
+func (s *Selector) notify(now time.Duration, news []registry.Instance) []registry.Instance {
 	for _, at := range s.touched {
 		c := &s.candidates[at]
 		if !c.touched {
 			continue // released meanwhile
 		}
 		if s.settle(now, at) {
-			news = append(news, s.toldForm(c))
+			news = append(news, s.notice(c))
 		}
 		c.touched, c.changed = false, false
 	}
@@ -259,44 +259,44 @@
 	return s.expire(now, news)
 }
 
-// settle brings what is told of a candidate to what it is now. It returns whether that
+// settle brings what is announced of a candidate to what it is now. It returns whether that
 // is news.
 func (s *Selector) settle(now time.Duration, at slot) bool {
 	c := &s.candidates[at]
-	before := c.told
+	before := c.notified
 	switch {
 	case c.place == inChosen:
 		delete(s.leavingBy, at)
-		c.told = toldAsListed
-		return c.changed || before != toldAsListed
-	case before == untold, before == toldLeaving:
+		c.notified = notifiedAsListed
+		return c.changed || before != notifiedAsListed
+	case before == notNotified, before == notifiedLeaving:
 		return false
 	case !c.ready: // the list says that it ends
 		return c.changed
 	}
-	c.told = toldLeaving
+	c.notified = notifiedLeaving
 	s.leavingBy[at] = now + Linger
 	s.leaving = append(s.leaving, departure{at: at, by: now + Linger})
 	return true
 }
 
-// all returns what is told of the listed instances.
+// all returns the notices of the listed instances.
 func (s *Selector) all(listed []registry.Instance) []registry.Instance {
-	told := []registry.Instance{}
+	out := []registry.Instance{}
 	for _, instance := range listed {
 		at, known := s.index[instance.ID]
-		if !known || s.candidates[at].told == untold {
+		if !known || s.candidates[at].notified == notNotified {
 			continue
 		}
-		told = append(told, s.toldForm(&s.candidates[at]))
+		out = append(out, s.notice(&s.candidates[at]))
 	}
-	return told
+	return out
 }
 
-// toldForm is a candidate in the form in which it is told.
-func (s *Selector) toldForm(c *candidate) registry.Instance {
+// notice is a candidate in the form in which it is announced.
+func (s *Selector) notice(c *candidate) registry.Instance {
 	instance := c.instance()
-	if c.told == toldLeaving {
+	if c.notified == notifiedLeaving {
 		instance.Lifecycle = registry.Terminating
 	}
 	return instance
@@ -312,7 +312,7 @@
 		}
 		delete(s.leavingBy, d.at)
 		c := &s.candidates[d.at]
-		c.told = untold
+		c.notified = notNotified
 		instance := c.instance()
 		instance.Lifecycle = registry.Gone
 		news = append(news, instance)
