Processes that end with their starter: a package of their own

The emulator starts its processes from one thread, so that the system kills them if it is killed. No change of behaviour.

--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"dunlintray/internal/child"
 	"dunlintray/internal/link"
 	"dunlintray/internal/referee"
 	"dunlintray/internal/results"
@@ -90,7 +91,7 @@
 	events  chan stamped
 	conns   atomic.Uint64
 	http    *http.Client
-	starter *starter
+	starter *child.Starter
 	methods map[string]string // by class
 
 	gateways  []*process
@@ -138,8 +139,8 @@
 	inner, stop := context.WithCancel(context.Background())
 	e.ctx = inner
 	e.w = world.New(s)
-	e.starter = newStarter()
-	defer e.starter.close()
+	e.starter = child.NewStarter()
+	defer e.starter.Close()
 	err := e.start(ctx)
 	if err == nil {
 		err = e.loop(ctx)
--- a/internal/play/processes.go
+++ b/internal/play/processes.go
@@ -10,11 +10,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"syscall"
 	"time"
 
+	"dunlintray/internal/child"
 	"dunlintray/internal/results"
 )
 
@@ -33,33 +33,8 @@
 	started bool
 }
 
-// starter starts processes, all from one thread: the system kills them when the
-// thread that started them ends, so that none is left if this program is killed.
-type starter struct {
-	calls chan func()
-	done  chan struct{}
-}
-
-func newStarter() *starter {
-	s := &starter{calls: make(chan func()), done: make(chan struct{})}
-	go func() {
-		runtime.LockOSThread()
-		for call := range s.calls {
-			call()
-		}
-		close(s.done)
-	}()
-	return s
-}
-
-// close ends the thread, and so all processes that still run.
-func (s *starter) close() {
-	close(s.calls)
-	<-s.done
-}
-
 // start begins a life of the process; exited is called when it has ended.
-func (p *process) start(s *starter, config []byte, exited func(how string)) error {
+func (p *process) start(s *child.Starter, config []byte, exited func(how string)) error {
 	path := filepath.Join(p.dir, "config.json")
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return err
@@ -77,10 +52,7 @@
 	cmd := exec.Command(p.program, append(p.args, "--config", path)...)
 	cmd.Env = append(os.Environ(), "TMPDIR="+tmp, "EDGE_CONFIG="+path)
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // a Ctrl-C is for this program alone
-	started := make(chan error, 1)
-	s.calls <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
+	if err := s.Start(cmd); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
