Gateway: a hollow one, for scale runs

A scale run needs what control costs a gateway without its traffic: the list service's client, the loop with the decision module, its table of backends, and membership. Hollow has just these, made by the functions that serve uses. The follower of the list tells an observer, if there is one, of each answer first.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 
+	"dunlintray/internal/registry"
 	"dunlintray/internal/wire"
 )
 
@@ -41,7 +42,8 @@
 	HandoverDir string // where the processes meet
 	wire.Deployment
 
-	document any // the file as it was read
+	document any                 // the file as it was read
+	observe  func(registry.Told) // of a Hollow: is told first what list services tell; else nil
 }
 
 // Reload is what a configuration that was read again came to.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -87,7 +87,13 @@
 		l.post(news{told, kind, history})
 	}
 	if len(c.Registries) > 0 {
-		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) { tell(told.News, told.History) })
+		heard := func(told registry.Told) {
+			if c.observe != nil {
+				c.observe(told)
+			}
+			tell(told.News, told.History)
+		}
+		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), heard)
 	} else {
 		f.agent = newWatcher(c.Discovery, func(told Listing) { tell(told, "") }, l.turnedAway)
 	}
--- /dev/null
+++ b/internal/gateway/hollow.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"dunlintray/internal/membership"
+	"dunlintray/internal/registry"
+)
+
+// Hollow is a gateway without clients, for scale runs: it follows the list services, feeds
+// the decision module and takes part in the membership as a gateway does, and opens
+// no connection to a backend or to the counter. Many fit into one process.
+type Hollow struct {
+	loop    *Loop
+	pools   *pools
+	follow  *listFollower
+	members *membership.Agent
+	stands  *standing
+}
+
+var errNoRegistries = errors.New("registries: a gateway without clients follows list services")
+
+// NewHollow makes a gateway of the text of a configuration. Each answer of the list
+// services that tells something new goes to observe, from a goroutine of the gateway,
+// before the gateway takes it in.
+func NewHollow(config []byte, observe func(registry.Told)) (*Hollow, error) {
+	c, err := parseConfig(config)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Registries) == 0 {
+		return nil, errNoRegistries
+	}
+	c.observe = observe
+	figures := newFigures(&c)
+	_, backends := split(c.Sockets - reserved)
+	h := &Hollow{pools: newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, figures)}
+	h.loop = newLoop(&c, figures.service(c.Deployment, c.mostBody()), figures, h.pools, nil, func() {})
+	h.follow = newListFollower(&c, h.loop)
+	if h.members, err = newMembers(&c, h.loop); err != nil {
+		return nil, err
+	}
+	if h.members != nil {
+		h.stands = newStanding(h.members, h.follow.services.Age, h.loop.contact, time.Now())
+	}
+	return h, nil
+}
+
+// Run works until ctx ends.
+func (h *Hollow) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { h.loop.run(ctx) })
+	wg.Go(func() { h.pools.sweep(ctx) })
+	wg.Go(func() { h.follow.run(ctx) })
+	if h.members != nil {
+		wg.Go(func() { h.members.Run(ctx) })
+		wg.Go(func() { h.stands.run(ctx) })
+	}
+}
+
+// Backends returns what the gateway holds of the list. It is empty once the gateway
+// has ended.
+func (h *Hollow) Backends() BackendsView {
+	view := make(chan BackendsView, 1)
+	if !h.loop.post(asked{view}) {
+		return BackendsView{}
+	}
+	select {
+	case v := <-view:
+		return v
+	case <-h.loop.stopped:
+		return BackendsView{}
+	}
+}
+
+// Members returns who is present by this gateway's view; without membership, ok is false.
+func (h *Hollow) Members() (view membership.View, ok bool) {
+	if h.members == nil {
+		return membership.View{}, false
+	}
+	return h.members.View(), true
+}
