--- a/cmd/dunlintray/main.go
+++ b/cmd/dunlintray/main.go
@@ -23,7 +23,9 @@
 
 	"dunlintray/internal/play"
 	"dunlintray/internal/referee"
+	"dunlintray/internal/scale"
 	"dunlintray/internal/scenario"
+	scales "dunlintray/scale"
 	"dunlintray/scenarios"
 )
 
@@ -46,7 +48,10 @@
 	Drain   drainCmd   `cmd:"" help:"Take a backend out, and wait until no gateway sends to it."`
 	Undrain undrainCmd `cmd:"" help:"Bring a backend back."`
 	Data    dataCmd    `cmd:"" help:"Look at the data of list services that are stopped."`
+	Scale   scaleCmd   `cmd:"" help:"Measure what control costs as a fleet grows: real list services, hollow gateways and backends."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+
+	ScaleHost scaleHostCmd `cmd:"" hidden:"" help:"A process of a scale run."`
 }
 
 // programs are the daemons that a fleet is made of, and where it writes.
@@ -379,7 +384,8 @@
 	var c cli
 	exited := -1
 	parser, err := kong.New(&c, kong.Name("dunlintray"), kong.Description("A fleet of gateways on one machine, and calls to those that run."),
-		kong.Writers(out, errs), kong.Exit(func(status int) { exited = status }), kong.Vars{"scenarios": strings.Join(scenarios.Names(), ", ")},
+		kong.Writers(out, errs), kong.Exit(func(status int) { exited = status }), kong.Vars{"scenarios": strings.Join(scenarios.Names(), ", "),
+			"scales": strings.Join(scales.Names(), ", "), "quantities": strings.Join(scale.Quantities(), ", ")},
 		kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(out, (*io.Writer)(nil)))
 	if err != nil {
 		fmt.Fprintln(errs, "dunlintray:", err)
--- /dev/null
+++ b/internal/scale/calls.go
@@ -0,0 +1,139 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"dunlintray/internal/registry"
+)
+
+const (
+	callWait     = 5 * time.Second // for an answer to a backend
+	mostRedirect = 2               // in a row; then the next member is asked
+	mostCallBody = 4 << 10
+)
+
+// caller makes the calls of hollow backends over HTTP. It calls the list service that
+// writes, which it finds as a backend does: by what others answer.
+type caller struct {
+	http    *http.Client
+	members []string
+	answers string // the address that all its backends are reached at
+	scoped  bool
+
+	mu     sync.Mutex
+	next   int    // of the members
+	writer string // that answered last, or was named
+}
+
+func newCaller(members []string, answers string, connections int, scoped bool) *caller {
+	return &caller{members: members, answers: answers, scoped: scoped, writer: members[0],
+		http: &http.Client{Timeout: callWait,
+			Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// target is whom to call now.
+func (c *caller) target() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writer
+}
+
+// failed goes on to the next member, unless another call has found a writer meanwhile.
+func (c *caller) failed(asked string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writer == asked {
+		c.next++
+		c.writer = c.members[c.next%len(c.members)]
+	}
+}
+
+func (c *caller) named(writer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writer = writer
+}
+
+// do makes a call, and returns the status and the version that it was answered with; 0
+// stands for no answer.
+func (c *caller) do(ctx context.Context, k call) (status int, version int64) {
+	for range mostRedirect {
+		address := c.target()
+		resp, err := c.send(ctx, address, k)
+		if err != nil {
+			c.failed(address)
+			return 0, 0
+		}
+		text, err := io.ReadAll(io.LimitReader(resp.Body, mostCallBody))
+		resp.Body.Close()
+		switch {
+		case err != nil:
+			return 0, 0
+		case resp.StatusCode == http.StatusTemporaryRedirect:
+			if to, err := url.Parse(resp.Header.Get("Location")); err == nil && to.Host != "" {
+				c.named(to.Host)
+				continue
+			}
+			c.failed(address)
+			return resp.StatusCode, 0
+		case resp.StatusCode == http.StatusServiceUnavailable:
+			c.failed(address)
+		}
+		var answer struct {
+			Version int64 `json:"version"`
+		}
+		if resp.StatusCode == http.StatusOK && json.Unmarshal(text, &answer) != nil {
+			return 0, 0
+		}
+		return resp.StatusCode, answer.Version
+	}
+	return 0, 0
+}
+
+func (c *caller) send(ctx context.Context, address string, k call) (*http.Response, error) {
+	b := k.backend
+	path := "http://" + address + registry.Path + "/" + b.ID()
+	method, body := http.MethodPost, any(ownCall{StartedAtMs: k.started})
+	switch k.kind {
+	case callRegister:
+		r := registration{HostPort: c.answers, Zone: b.Zone, MachineType: machineType, Cell: 0, StartedAtMs: k.started}
+		if c.scoped {
+			r.Service, r.Region = b.Service, b.Region
+		}
+		method, body = http.MethodPut, r
+	case callRenew:
+		path += "/renew"
+	case callDrain:
+		path += "/lifecycle"
+		body = ownCall{StartedAtMs: k.started, Lifecycle: registry.Terminating}
+	case callLeave:
+		method, body = http.MethodDelete, nil
+		path += "?startedAtMs=" + strconv.FormatInt(k.started, 10)
+	}
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("a call of %s: %w", b.ID(), err)
+		}
+		reader = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, path, reader)
+	if err != nil {
+		return nil, err
+	}
+	return c.http.Do(req)
+}
+
+// machineType is that of all backends; the gateways' settings know it.
+const machineType = "std"
--- /dev/null
+++ b/internal/scale/config.go
@@ -0,0 +1,122 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+
+	"dunlintray/internal/scenario"
+)
+
+// object is a JSON object; its keys are written in order.
+type object = map[string]any
+
+// serviceConfig is the configuration of a list service.
+func (p *Plan) serviceConfig(n int, dir string) ([]byte, error) {
+	s := &p.Services[n]
+	config := object{"listen": s.Listen, "control": s.Control, "lease_ms": p.Scenario.Fleet.Lease.D().Milliseconds(),
+		"limits": object{"instances": p.Scenario.Fleet.Backends + spareInstances, "connections": p.connections(), "watchers": p.watchers(),
+			"lists_per_s": listsPerS}}
+	if s.Member == 0 {
+		config["writer"] = p.Services[s.Copies].Listen
+		if s.Link != "" {
+			config["writer"] = s.Link
+		}
+		return json.MarshalIndent(config, "", " ")
+	}
+	members, lists := object{}, object{}
+	for _, other := range p.Services {
+		if other.Member > 0 {
+			members[fmt.Sprint(other.Member)], lists[fmt.Sprint(other.Member)] = other.Group, other.Listen
+		}
+	}
+	config["group"] = object{"name": "scale", "self": s.Member, "listen": s.Group, "members": members, "lists": lists, "data_dir": filepath.Join(dir, "data")}
+	return json.MarshalIndent(config, "", " ")
+}
+
+// What a list service may have beside what the scenario says.
+const (
+	spareInstances = 100
+	listsPerS      = 100 // as the list service's own default
+)
+
+// Of a gateway's configuration that no hollow one uses.
+const (
+	gatewaySockets  = 4096
+	gatewayMemoryMB = 64
+	datagramsPerS   = 100 // that a gateway takes in; as the emulator's default
+)
+
+// gatewayConfig is the configuration of a hollow gateway, or of a real one, which has the
+// numbers behind the hollow ones. The fleet of the settings is what the membership knows.
+func (p *Plan) gatewayConfig(n int, place Place, scopes []Scope) ([]byte, error) {
+	f := &p.Scenario.Fleet
+	s := scenario.Default()
+	s.Name, s.Seed = p.Scenario.Name, p.Scenario.Seed
+	s.Fleet.Gateways, s.Fleet.Zones, s.Fleet.Membership = f.Gateways+f.RealGateways, p.Scenario.zoneNames(), f.Membership && n < f.Gateways
+	s.Fleet.MemoryMB, s.Fleet.Sockets = gatewayMemoryMB, gatewaySockets
+	s.Network.PeerInPerS = datagramsPerS
+	real := n - f.Gateways
+	at := scenario.Addresses{Listen: p.realGateway(max(real, 0), portGateway), Control: p.realGateway(max(real, 0), portGateway+1), Registries: p.Registries(place.Region)}
+	if f.Membership && n < f.Gateways {
+		s.Fleet.Gateways = f.Gateways
+		at.PeerListen = p.peer(n).String()
+		for other := range f.Gateways {
+			at.Peers = append(at.Peers, p.peer(other).String())
+		}
+	}
+	text, err := s.GatewayConfig(n, at, nil)
+	if err != nil {
+		return nil, err
+	}
+	// There is no counter, and the gateway may read a part of the list.
+	var config object
+	if err := json.Unmarshal(text, &config); err != nil {
+		return nil, err
+	}
+	settings := config["settings"].(object)
+	settings["familyInfo"].(object)["hasCounter"] = false
+	delete(config, "counter")
+	delete(config, "peers_all")
+	if len(scopes) > 0 {
+		var all []string
+		for _, scope := range scopes {
+			all = append(all, scope.String())
+		}
+		config["scopes"] = all
+	}
+	if size := p.Scenario.Reading.Subset; size > 0 {
+		config["subset"] = object{"size": size}
+	}
+	return json.Marshal(config)
+}
+
+// hostConfigs are the configurations of the processes of hollow gateways and backends.
+func (p *Plan) hostConfigs() (gateways, backends []HostConfig, err error) {
+	s := p.Scenario
+	for host := range p.GatewayHosts {
+		c := HostConfig{Name: fmt.Sprintf("gateways%d", host), Seed: s.Seed + uint64(host), Gateways: &GatewayHost{}}
+		for n := host; n < len(p.Gateways); n += p.GatewayHosts {
+			g := p.Gateways[n]
+			text, err := p.gatewayConfig(n, g.Place, g.Scopes)
+			if err != nil {
+				return nil, nil, err
+			}
+			c.Gateways.Gateways = append(c.Gateways.Gateways, HostedGateway{g, text})
+		}
+		gateways = append(gateways, c)
+	}
+	for host := range p.BackendHosts {
+		c := HostConfig{Name: fmt.Sprintf("backends%d", host), Seed: s.Seed + uint64(host), Backends: &BackendsHost{
+			Members: p.Members(), Answers: p.answers(host), Connections: s.Hosts.Connections, Renew: s.Fleet.Lease.D() / renewals,
+			Drain: s.Changes.Drain.D(), Down: s.Changes.Down.D(), Register: s.Changes.Register / float64(p.BackendHosts), Scoped: s.Reading.Services > 0}}
+		for n := host; n < len(p.Backends); n += p.BackendHosts {
+			c.Backends.Backends = append(c.Backends.Backends, p.Backends[n])
+		}
+		backends = append(backends, c)
+	}
+	return gateways, backends, nil
+}
+
+// renewals is how often a backend renews in a lease.
+const renewals = 3
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,226 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Point is a measurement: of a quantity X, and of another one Z where two were varied.
+type Point struct{ X, Z, Y float64 }
+
+// Form is how a figure depends on one or two quantities.
+type Form string
+
+// The forms.
+const (
+	Constant Form = "constant"
+	Linear   Form = "linear"
+	Product  Form = "product" // of the two quantities
+	Sum      Form = "sum"     // of a linear part of each
+	Bent     Form = "bent"    // linear, with another slope from a point on
+	Unclear  Form = "unclear" // none of these fits
+)
+
+// Fit is a form with its coefficients: Y = Base + Slope·X, or Base + Slope·X·Z, or
+// Base + Slope·X + Other·Z; behind a bend, the slope in X is Other.
+type Fit struct {
+	Form     Form    `json:"form"`
+	Base     float64 `json:"base"`
+	Slope    float64 `json:"slope"`
+	Other    float64 `json:"other,omitempty"`
+	Bend     float64 `json:"bend,omitempty"` // X at the bend
+	Residual float64 `json:"residual"`       // root mean square, relative to each point's Y
+	Worst    float64 `json:"worst"`          // the largest, relative
+}
+
+// Tolerances of a fit.
+const (
+	fitTolerance  = 0.15 // relative root mean square residual that a form may leave
+	floorShare    = 0.02 // of the largest Y: a residual is never taken relative to less
+	betterBy      = 2.0  // a form with more coefficients must leave so much less
+	leastForBend  = 4    // points
+	constantRange = 0.10 // what Y may differ in all, relative, to be constant whatever the noise
+)
+
+// At is the figure that the fit expects.
+func (f Fit) At(x, z float64) float64 {
+	switch f.Form {
+	case Constant:
+		return f.Base
+	case Product:
+		return f.Base + f.Slope*x*z
+	case Sum:
+		return f.Base + f.Slope*x + f.Other*z
+	case Bent:
+		return f.Base + f.Slope*min(x, f.Bend) + f.Other*max(x-f.Bend, 0)
+	}
+	return f.Base + f.Slope*x
+}
+
+func (f Fit) String() string {
+	residual := fmt.Sprintf("residual %.1f%%, worst %.1f%%", 100*f.Residual, 100*f.Worst)
+	switch f.Form {
+	case Constant:
+		return fmt.Sprintf("constant: %.4g; %s", f.Base, residual)
+	case Linear, Unclear:
+		return fmt.Sprintf("%s: %.4g + %.4g x; %s", f.Form, f.Base, f.Slope, residual)
+	case Product:
+		return fmt.Sprintf("product: %.4g + %.4g x z; %s", f.Base, f.Slope, residual)
+	case Sum:
+		return fmt.Sprintf("sum: %.4g + %.4g x + %.4g z; %s", f.Base, f.Slope, f.Other, residual)
+	}
+	return fmt.Sprintf("bent at %.4g: %.4g + %.4g x up to it, then %.4g x; %s", f.Bend, f.Base, f.Slope, f.Other, residual)
+}
+
+// FitOne fits a figure of one quantity: constant, linear, or bent, the first of these
+// that holds within the tolerance and is not much worse than the next.
+func FitOne(points []Point) Fit {
+	points = slices.Clone(points)
+	slices.SortFunc(points, func(a, b Point) int { return compare(a.X, b.X) })
+	constant := solve(points, Constant, 0, func(Point) []float64 { return []float64{1} })
+	linear := solve(points, Linear, 0, func(p Point) []float64 { return []float64{1, p.X} })
+	if spread(points) <= constantRange || constant.Residual <= fitTolerance && constant.Residual <= betterBy*linear.Residual {
+		return constant
+	}
+	best := linear
+	if len(points) >= leastForBend {
+		for _, bend := range points[1 : len(points)-1] {
+			bent := solve(points, Bent, bend.X, func(p Point) []float64 { return []float64{1, min(p.X, bend.X), max(p.X-bend.X, 0)} })
+			if bent.Residual < best.Residual/betterBy && (best.Form == Bent && bent.Residual < best.Residual || linear.Residual > fitTolerance) {
+				best = bent
+			}
+		}
+	}
+	if best.Residual > fitTolerance {
+		best.Form = Unclear
+		if best.Bend != 0 {
+			linear.Form = Unclear
+			best = linear
+		}
+	}
+	return best
+}
+
+// FitTwo fits a figure of two quantities.
+func FitTwo(points []Point) Fit {
+	constant := solve(points, Constant, 0, func(Point) []float64 { return []float64{1} })
+	if spread(points) <= constantRange {
+		return constant
+	}
+	linear := solve(points, Linear, 0, func(p Point) []float64 { return []float64{1, p.X} })
+	product := solve(points, Product, 0, func(p Point) []float64 { return []float64{1, p.X * p.Z} })
+	sum := solve(points, Sum, 0, func(p Point) []float64 { return []float64{1, p.X, p.Z} })
+	best := constant
+	for _, next := range []Fit{linear, product, sum} {
+		better := betterBy
+		if best.Form != Constant && next.Form == Product {
+			better = 1 // as many coefficients
+		}
+		if next.Residual < best.Residual/better {
+			best = next
+		}
+	}
+	if best.Residual > fitTolerance {
+		best.Form = Unclear
+	}
+	return best
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// spread is by how much the figures differ, relative to their mean.
+func spread(points []Point) float64 {
+	least, most, sum := math.Inf(1), math.Inf(-1), 0.0
+	for _, p := range points {
+		least, most, sum = min(least, p.Y), max(most, p.Y), sum+p.Y
+	}
+	if most == least {
+		return 0
+	}
+	return (most - least) / math.Abs(sum/float64(len(points)))
+}
+
+// solve finds the coefficients that leave the least sum of squares, each residual
+// relative to its point, so that small sizes count as much as large ones.
+func solve(points []Point, form Form, bend float64, terms func(Point) []float64) Fit {
+	most := 0.0
+	for _, p := range points {
+		most = max(most, math.Abs(p.Y))
+	}
+	weight := func(p Point) float64 {
+		return 1 / max(math.Abs(p.Y), floorShare*most, math.SmallestNonzeroFloat64*1e16)
+	}
+	unknowns := len(terms(Point{}))
+	matrix := make([][]float64, unknowns) // normal equations, with the right side as the last column
+	for row := range matrix {
+		matrix[row] = make([]float64, unknowns+1)
+	}
+	for _, p := range points {
+		t, w := terms(p), weight(p)*weight(p)
+		for row := range unknowns {
+			for column := range unknowns {
+				matrix[row][column] += w * t[row] * t[column]
+			}
+			matrix[row][unknowns] += w * t[row] * p.Y
+		}
+	}
+	c := eliminate(matrix)
+	f := Fit{Form: form, Base: c[0], Bend: bend}
+	if len(c) > 1 {
+		f.Slope = c[1]
+	}
+	if len(c) > 2 {
+		f.Other = c[2]
+	}
+	sum := 0.0
+	for _, p := range points {
+		off := math.Abs(p.Y-f.At(p.X, p.Z)) * weight(p)
+		sum += off * off
+		f.Worst = max(f.Worst, off)
+	}
+	f.Residual = math.Sqrt(sum / float64(max(len(points), 1)))
+	return f
+}
+
+// eliminate solves linear equations by Gauss's method; an unknown that they leave open
+// is 0.
+func eliminate(m [][]float64) []float64 {
+	n := len(m)
+	for column := range n {
+		pivot := column
+		for row := column + 1; row < n; row++ {
+			if math.Abs(m[row][column]) > math.Abs(m[pivot][column]) {
+				pivot = row
+			}
+		}
+		m[column], m[pivot] = m[pivot], m[column]
+		if math.Abs(m[column][column]) < 1e-300 {
+			continue
+		}
+		for row := range n {
+			if row == column {
+				continue
+			}
+			factor := m[row][column] / m[column][column]
+			for k := column; k <= n; k++ {
+				m[row][k] -= factor * m[column][k]
+			}
+		}
+	}
+	solved := make([]float64, n)
+	for row := range n {
+		if math.Abs(m[row][row]) >= 1e-300 {
+			solved[row] = m[row][n] / m[row][row]
+		}
+	}
+	return solved
+}
--- /dev/null
+++ b/internal/scale/fit_test.go
@@ -0,0 +1,94 @@
+package scale
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// made returns points of a figure at sizes, each off by up to a share of it.
+func made(sizes []float64, noise float64, f func(x float64) float64) (all []Point) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, x := range sizes {
+		all = append(all, Point{X: x, Y: f(x) * (1 + noise*(2*random.Float64()-1))})
+	}
+	return all
+}
+
+func near(t *testing.T, what string, got, want, share float64) {
+	t.Helper()
+	if math.Abs(got-want) > share*math.Abs(want) {
+		t.Errorf("%s: %g, want %g", what, got, want)
+	}
+}
+
+func TestFitOne(t *testing.T) {
+	sizes := []float64{10, 30, 100, 300, 1000}
+	for _, c := range []struct {
+		name   string
+		sizes  []float64
+		noise  float64
+		f      func(x float64) float64
+		want   Form
+		base   float64
+		slope  float64
+		other  float64
+		bend   float64
+		within float64
+	}{
+		{"constant", sizes, 0.08, func(float64) float64 { return 40 }, Constant, 40, 0, 0, 0, 0.1},
+		{"zero", sizes, 0, func(float64) float64 { return 0 }, Constant, 0, 0, 0, 0, 0},
+		{"linear", sizes, 0.05, func(x float64) float64 { return 500 + 3*x }, Linear, 500, 3, 0, 0, 0.1},
+		{"linear without a base", sizes, 0.05, func(x float64) float64 { return 3 * x }, Linear, 0, 3, 0, 0, 0.1},
+		{"bent", sizes, 0, func(x float64) float64 { return 100 + 2*min(x, 100) + 20*max(x-100, 0) }, Bent, 100, 2, 20, 100, 0.01},
+		{"bent with noise", []float64{10, 30, 100, 300, 1000, 3000}, 0.03, func(x float64) float64 { return 100 + 2*min(x, 300) + 0.01*max(x-300, 0) }, Bent, 100, 2, 0.01, 300, 0.5},
+		{"two points", []float64{10, 30}, 0, func(x float64) float64 { return 10 + x }, Linear, 10, 1, 0, 0, 0.01},
+	} {
+		f := FitOne(made(c.sizes, c.noise, c.f))
+		if f.Form != c.want {
+			t.Errorf("%s: %v", c.name, f)
+			continue
+		}
+		if c.base != 0 {
+			near(t, c.name+": base", f.Base, c.base, c.within)
+		}
+		near(t, c.name+": slope", f.Slope, c.slope, c.within)
+		if c.noise == 0 {
+			near(t, c.name+": other", f.Other, c.other, c.within)
+		}
+		if f.Bend != c.bend {
+			t.Errorf("%s: bend at %g, want %g", c.name, f.Bend, c.bend)
+		}
+	}
+}
+
+func TestFitOneTellsWhatFitsNothing(t *testing.T) {
+	if f := FitOne([]Point{{X: 1, Y: 10}, {X: 3, Y: 100}, {X: 10, Y: 5}, {X: 30, Y: 200}, {X: 100, Y: 1}}); f.Form != Unclear {
+		t.Errorf("%v", f)
+	}
+}
+
+func TestFitTwo(t *testing.T) {
+	for _, c := range []struct {
+		f    func(x, z float64) float64
+		want Form
+	}{
+		{func(x, z float64) float64 { return 7 }, Constant},
+		{func(x, z float64) float64 { return 10 + 3*x }, Linear},
+		{func(x, z float64) float64 { return 200 + 0.5*x*z }, Product},
+		{func(x, z float64) float64 { return 20 + 5*x + 90*z }, Sum},
+	} {
+		var points []Point
+		random := rand.New(rand.NewPCG(3, 4))
+		for _, x := range []float64{10, 30, 100, 300} {
+			for _, z := range []float64{1, 3, 10} {
+				points = append(points, Point{x, z, c.f(x, z) * (1 + 0.02*(2*random.Float64()-1))})
+			}
+		}
+		f := FitTwo(points)
+		if f.Form != c.want {
+			t.Errorf("want %s: %v", c.want, f)
+		}
+		near(t, string(c.want), f.At(100, 3), c.f(100, 3), 0.05)
+	}
+}
--- /dev/null
+++ b/internal/scale/follow.go
@@ -0,0 +1,85 @@
+package scale
+
+import (
+	"hash/fnv"
+	"io"
+	"slices"
+	"time"
+
+	"dunlintray/internal/registry"
+)
+
+// told is one answer that told a gateway something new.
+type told struct {
+	version int64
+	at      int64 // Unix nanoseconds
+}
+
+// life is what one process of a hollow gateway was told, from its first list to its end.
+type life struct {
+	told  []told
+	ended int64 // Unix nanoseconds; 0: it goes on
+}
+
+// latency counts how long changes took from their answer to a gateway that reads a part
+// of the list. The changes are in the order of their versions.
+func (l *life) latency(g Gateway, changes []Change, into *Latency) {
+	if len(l.told) == 0 {
+		return
+	}
+	at := 0
+	for _, change := range changes {
+		place := Backend{Place{Number: change.Backend, Zone: change.Zone, Region: change.Region}, change.Service}
+		if change.Version <= l.told[0].version || !g.Reads(place) || l.ended != 0 && change.At >= l.ended {
+			continue
+		}
+		for at < len(l.told) && l.told[at].version < change.Version {
+			at++
+		}
+		switch {
+		case at < len(l.told):
+			into.add(max(0, time.Duration(l.told[at].at-change.At)))
+		case l.ended == 0:
+			into.Missing++
+		}
+	}
+}
+
+// sortChanges orders changes by version.
+func sortChanges(all []Change) {
+	slices.SortFunc(all, func(a, b Change) int {
+		switch {
+		case a.Version < b.Version:
+			return -1
+		case a.Version > b.Version:
+			return 1
+		}
+		return 0
+	})
+}
+
+// digest is the sum over instances of a hash of each, so that their order is all one.
+type digest uint64
+
+func (d *digest) add(id string, lifecycle registry.Lifecycle) {
+	h := fnv.New64a()
+	io.WriteString(h, id)
+	io.WriteString(h, " ")
+	io.WriteString(h, string(lifecycle))
+	*d += digest(h.Sum64())
+}
+
+// expected is what a gateway holds that has the writer's list.
+func expected(g Gateway, list registry.Listing, backends map[string]Backend) View {
+	v := View{Gateway: g.Number, Version: list.Generation}
+	var d digest
+	for _, i := range list.Instances {
+		if b, known := backends[i.ID]; known && !g.Reads(b) {
+			continue
+		}
+		v.Count++
+		d.add(i.ID, i.Lifecycle)
+	}
+	v.Digest = uint64(d)
+	return v
+}
--- /dev/null
+++ b/internal/scale/proc.go
@@ -0,0 +1,73 @@
+package scale
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// Use is what the system tells of a process.
+type Use struct {
+	CPU      time.Duration // user and system, in steps of clockTick
+	MemoryMB float64       // resident
+	In, Out  uint64        // bytes of read and write calls: sockets, and files such as logs
+	Stored   uint64        // bytes written to storage
+}
+
+// clockTick is the unit of processor time in /proc/PID/stat.
+const clockTick = time.Second / 100
+
+var errNoProcess = errors.New("its figures can't be read")
+
+// readUse reads the figures of a process; "self" is this one.
+func readUse(pid string) (Use, error) {
+	var u Use
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		return u, err
+	}
+	// The name, in parentheses, may hold anything; user and system time are the twelfth and
+	// thirteenth fields behind it.
+	_, rest, found := bytes.Cut(stat, []byte(") "))
+	fields := strings.Fields(string(rest))
+	const user, system = 11, 12
+	if !found || len(fields) <= system {
+		return u, errNoProcess
+	}
+	var userTicks, systemTicks int64
+	if _, err := fmt.Sscan(fields[user]+" "+fields[system], &userTicks, &systemTicks); err != nil {
+		return u, err
+	}
+	u.CPU = time.Duration(userTicks+systemTicks) * clockTick
+	io, err := readKeys("/proc/" + pid + "/io")
+	if err != nil {
+		return u, err
+	}
+	u.In, u.Out, u.Stored = io["rchar"], io["wchar"], io["write_bytes"]
+	status, err := readKeys("/proc/" + pid + "/status")
+	if err != nil {
+		return u, err
+	}
+	u.MemoryMB = float64(status["VmRSS"]) / 1024
+	return u, nil
+}
+
+// readKeys reads a file of lines "key: number".
+func readKeys(path string) (map[string]uint64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	all := map[string]uint64{}
+	for line := range strings.Lines(string(text)) {
+		key, value, _ := strings.Cut(line, ":")
+		var n uint64
+		if _, err := fmt.Sscan(value, &n); err == nil {
+			all[key] = n
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/scale/process.go
@@ -0,0 +1,240 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlintray/internal/child"
+)
+
+// process is one of a run's, over all its lives. It is killed at the end of the run, and
+// by the system if the run is.
+type process struct {
+	name    string
+	role    string
+	dir     string
+	starter *child.Starter
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{} // closed when the present life has ended
+	spent Use           // of the lives before the present one
+	last  Use           // of the present one, as it was last read
+	meant bool          // the present life was ended by the run
+}
+
+func newProcess(name, role, dir string, starter *child.Starter) (*process, error) {
+	p := &process{name: name, role: role, dir: filepath.Join(dir, name), starter: starter}
+	return p, os.MkdirAll(p.dir, 0o700)
+}
+
+// start begins a life. What the process writes goes to its log, but for standard output
+// where out is not nil.
+func (p *process) start(cmd *exec.Cmd, out io.Writer, died func(*process, error)) error {
+	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd.Stdout, cmd.Stderr = log, log
+	if out != nil {
+		cmd.Stdout = out
+	}
+	if err := p.starter.Start(cmd); err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended, p.meant, p.last = cmd, ended, false, Use{}
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		meant := p.meant
+		p.spent.CPU += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		p.spent.In, p.spent.Out, p.spent.Stored = p.spent.In+p.last.In, p.spent.Out+p.last.Out, p.spent.Stored+p.last.Stored
+		p.last = Use{}
+		p.mu.Unlock()
+		close(ended)
+		if !meant {
+			died(p, err)
+		}
+	}()
+	return nil
+}
+
+func (p *process) log() string { return filepath.Join(p.dir, "log") }
+
+// use returns what the process has used, over all its lives.
+func (p *process) use() Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return Use{}
+	}
+	select {
+	case <-p.ended:
+	default:
+		if u, err := readUse(strconv.Itoa(p.cmd.Process.Pid)); err == nil {
+			p.last = u
+		}
+	}
+	u := p.last
+	u.CPU, u.In, u.Out, u.Stored = u.CPU+p.spent.CPU, u.In+p.spent.In, u.Out+p.spent.Out, u.Stored+p.spent.Stored
+	return u
+}
+
+// kill ends the present life at once and waits for its end.
+func (p *process) kill() {
+	p.use()
+	p.mu.Lock()
+	ended := p.ended
+	if ended == nil {
+		p.mu.Unlock()
+		return
+	}
+	p.meant = true
+	select {
+	case <-ended:
+	default:
+		p.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	p.mu.Unlock()
+	<-ended
+}
+
+// lastWords are the end of what the process has written.
+func (p *process) lastWords() string {
+	text, err := os.ReadFile(p.log())
+	if err != nil {
+		return err.Error()
+	}
+	const lines = 5
+	all := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return string(bytes.Join(all[max(0, len(all)-lines):], []byte("\n")))
+}
+
+// host is a process of hollow gateways or backends, and the run's side of what they tell
+// each other.
+type host struct {
+	*process
+	in      io.WriteCloser
+	ready   chan struct{}
+	samples chan *Sample
+	views   chan []View
+	latency chan *Latency
+}
+
+const askWait = 60 * time.Second // for a report: a collection of garbage, or a look through all changes
+
+var errSilent = errors.New("it does not report")
+
+// startHost starts a process of hollow ones; changed is called with the changes that it
+// reports.
+func startHost(p *process, command []string, config HostConfig, changed func([]Change), died func(*process, error)) (*host, error) {
+	h := &host{process: p, ready: make(chan struct{}), samples: make(chan *Sample, 1), views: make(chan []View, 1), latency: make(chan *Latency, 1)}
+	cmd := exec.Command(command[0], command[1:]...)
+	var err error
+	if h.in, err = cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, report, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	err = p.start(cmd, report, died)
+	report.Close()
+	if err != nil {
+		out.Close()
+		return nil, err
+	}
+	go h.read(out, changed)
+	return h, json.NewEncoder(h.in).Encode(config)
+}
+
+func (h *host) read(out io.ReadCloser, changed func([]Change)) {
+	defer out.Close()
+	lines := bufio.NewReaderSize(out, 1<<16)
+	for {
+		text, err := readLine(lines)
+		var r Report
+		if err != nil || json.Unmarshal(text, &r) != nil {
+			return
+		}
+		switch {
+		case r.Ready:
+			close(h.ready)
+		case r.Changes != nil:
+			changed(r.Changes)
+		case r.Sample != nil:
+			h.samples <- r.Sample
+		case r.Latency != nil:
+			h.latency <- r.Latency
+		default:
+			h.views <- r.Views
+		}
+	}
+}
+
+func (h *host) tell(c Command) error {
+	if err := json.NewEncoder(h.in).Encode(c); err != nil {
+		return fmt.Errorf("%s: %w; it said:\n%s", h.name, err, h.lastWords())
+	}
+	return nil
+}
+
+// answerOf waits for a report.
+func answerOf[T any](h *host, reports <-chan T) (T, error) {
+	late := time.NewTimer(askWait)
+	defer late.Stop()
+	select {
+	case r := <-reports:
+		return r, nil
+	case <-h.ended:
+	case <-late.C:
+	}
+	var none T
+	return none, fmt.Errorf("%s: %w; it said:\n%s", h.name, errSilent, h.lastWords())
+}
+
+func (h *host) sample(collect bool) (*Sample, error) {
+	if err := h.tell(Command{Sample: &Sampler{Collect: collect}}); err != nil {
+		return nil, err
+	}
+	return answerOf(h, h.samples)
+}
+
+func (h *host) view() ([]View, error) {
+	if err := h.tell(Command{Views: true}); err != nil {
+		return nil, err
+	}
+	return answerOf(h, h.views)
+}
+
+// changesInLine is how many changes a process is told in one line.
+const changesInLine = 10_000
+
+func (h *host) latencyOf(changes []Change) (*Latency, error) {
+	for len(changes) > 0 {
+		n := min(len(changes), changesInLine)
+		if err := h.tell(Command{Changes: changes[:n]}); err != nil {
+			return nil, err
+		}
+		changes = changes[n:]
+	}
+	if err := h.tell(Command{Latency: true}); err != nil {
+		return nil, err
+	}
+	return answerOf(h, h.latency)
+}
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,158 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// hostVariable makes the test binary a process of hollow ones.
+const hostVariable = "SCALE_TEST_HOST"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(hostVariable) != "" {
+		if err := RunHost(context.Background(), os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Setenv(hostVariable, "1") // of the processes that tests start
+	os.Exit(m.Run())
+}
+
+// testOptions builds the list service.
+func testOptions(t *testing.T) Options {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "registry")
+	if text, err := exec.Command("go", "build", "-o", program, "dunlintray/cmd/registry").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Registry: program, Host: []string{self}, Dir: dir}
+}
+
+// children are the processes that this one has started and that still run.
+func children(t *testing.T) (all []string) {
+	t.Helper()
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has ended meanwhile
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		if fields := strings.Fields(rest); len(fields) > 1 && fields[1] == strconv.Itoa(os.Getpid()) {
+			all = append(all, string(text))
+		}
+	}
+	return all
+}
+
+func smallScenario() *Scenario {
+	s := Default()
+	s.Length, s.Quiet = Duration(2*time.Second), Duration(20*time.Second)
+	s.Fleet.Gateways, s.Fleet.Backends, s.Fleet.Services, s.Fleet.Lease = 5, 20, 4, Duration(time.Second)
+	s.Changes.PerS, s.Changes.Drain, s.Changes.Down = 15, Duration(100*time.Millisecond), Duration(100*time.Millisecond)
+	s.Hosts.Gateways = 3
+	return &s
+}
+
+// TestRun makes a small run: each change that was answered comes to each gateway, all of
+// them hold the writer's list at the end, and no process is left.
+func TestRun(t *testing.T) {
+	s := smallScenario()
+	s.Fleet.Membership = true
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	if r.Changes < 6 || r.Changes%changesRestart != 0 {
+		t.Errorf("%d changes in 2 s, at 15 a second", r.Changes)
+	}
+	if want := int64(r.Changes * s.Fleet.Gateways); r.Told.Readings != want {
+		t.Errorf("%d changes were read %d times by %d gateways", r.Changes, r.Told.Readings, s.Fleet.Gateways)
+	}
+	if r.Versions != int64(r.Changes) {
+		t.Errorf("%d changes and %d versions: leases ran out", r.Changes, r.Versions)
+	}
+	if r.Final.Listed != 20 || r.Final.Of != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	if r.Members.Present < 4.9 {
+		t.Errorf("gateways hold %g of 5 present", r.Members.Present)
+	}
+	for name, processes := range map[string]int{roleWriter: 1, roleMember: 2, roleFollower: 1, roleGateways: 2, roleBackends: 1} {
+		if role, ok := r.Role(name); !ok || role.Processes != processes || role.InPerS <= 0 || role.OutPerS <= 0 || role.MemoryMB <= 0 {
+			t.Errorf("%s: %+v", name, role)
+		}
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
+
+// TestRunWithFaults strikes a rack, a region's link and a list service.
+func TestRunWithFaults(t *testing.T) {
+	s := smallScenario()
+	s.Length = Duration(6 * time.Second)
+	const second = Duration(time.Second)
+	s.Faults = []*Fault{
+		{Kind: FaultRack, At: second / 10, For: 2 * second, Gateways: 2, Backends: 5},
+		{Kind: FaultRegionCut, At: 2 * second, For: second, Region: "r0"},
+		{Kind: FaultKill, At: 3 * second, For: second, Who: whoWriter},
+		{Kind: FaultRestarts, At: 4 * second, For: second, ChangesPS: 30},
+	}
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	if r.Final.Listed != 20 || r.Final.Of != 5 || r.Final.Same != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	if len(r.Marks) != 10 {
+		t.Errorf("%q", r.Marks)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
+
+// TestRunEndsWhole ends runs early and from outside: nothing is left of them.
+func TestRunEndsWhole(t *testing.T) {
+	o := testOptions(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := Run(ctx, smallScenario(), o); err == nil {
+		t.Error("a run that was ended has a result")
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+	o.Registry = "/bin/false"
+	if _, err := Run(t.Context(), smallScenario(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+		t.Errorf("%v", err)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
--- /dev/null
+++ b/internal/scale/scenario.go
@@ -0,0 +1,283 @@
+// Package scale measures what control costs as a fleet grows: real list services, a few
+// real gateways, and hollow gateways and backends, many in one process, that run the
+// real client code and take no traffic.
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dunlintray/internal/scenario"
+)
+
+// Duration is written as in the scenarios of the emulator: "250ms".
+type Duration = scenario.Duration
+
+// Scenario is one fleet and what happens on it.
+type Scenario struct {
+	Name   string   `toml:"name" json:"name"`
+	Seed   uint64   `toml:"seed" json:"seed"`
+	Length Duration `toml:"length" json:"length"` // of the measurement, while backends restart
+	Quiet  Duration `toml:"quiet" json:"quiet"`   // at most, after it, until all readers hold the writer's list
+
+	Fleet   Fleet    `toml:"fleet" json:"fleet"`
+	Changes Changes  `toml:"changes" json:"changes"`
+	Reading Reading  `toml:"reading" json:"reading"`
+	Hosts   Hosts    `toml:"hosts" json:"hosts"`
+	Faults  []*Fault `toml:"fault" json:"faults,omitempty"`
+}
+
+// Fleet is what there is.
+type Fleet struct {
+	Members      int      `toml:"members" json:"members"`     // list services that agree on the list: 1, 3 or 5
+	Followers    int      `toml:"followers" json:"followers"` // in each region; 0: gateways read from the members
+	Regions      int      `toml:"regions" json:"regions"`
+	Zones        int      `toml:"zones" json:"zones"` // in each region
+	Gateways     int      `toml:"gateways" json:"gateways"`
+	RealGateways int      `toml:"real_gateways" json:"realGateways"` // processes that serve requests
+	Backends     int      `toml:"backends" json:"backends"`
+	Services     int      `toml:"services" json:"services"` // that the backends are spread over
+	Membership   bool     `toml:"membership" json:"membership"`
+	Lease        Duration `toml:"lease" json:"lease"` // of a backend, which renews it three times in each
+}
+
+// Changes are the restarts of backends. Each is three changes of the list: one drains,
+// leaves, and registers anew.
+type Changes struct {
+	PerS     float64  `toml:"per_s" json:"perS"`         // of the list
+	Drain    Duration `toml:"drain" json:"drain"`        // between draining and leaving
+	Down     Duration `toml:"down" json:"down"`          // between leaving and registering
+	Requests float64  `toml:"requests" json:"requests"`  // a second, at all real gateways together
+	Register float64  `toml:"register" json:"registerS"` // registrations a second at the start
+}
+
+// Reading is which part of the list a gateway reads.
+type Reading struct {
+	Services int    `toml:"services" json:"services"` // that each gateway reads; 0: the whole list
+	Within   string `toml:"within" json:"within"`     // all, region or zone: of the backends of a service, those that a gateway reads
+	Subset   int    `toml:"subset" json:"subset"`     // backends of them that a gateway uses; 0: all
+}
+
+// Hosts are the processes that hollow gateways and backends live in.
+type Hosts struct {
+	Gateways    int `toml:"gateways" json:"gateways"` // in one process, at most
+	Backends    int `toml:"backends" json:"backends"`
+	Connections int `toml:"connections" json:"connections"` // of the backends of one process to the list service
+}
+
+// The parts of a service's backends that a gateway can read.
+const (
+	WithinAll    = "all"
+	WithinRegion = "region"
+	WithinZone   = "zone"
+)
+
+// Fault is one thing that goes wrong.
+type Fault struct {
+	Kind string   `toml:"kind" json:"kind"`
+	At   Duration `toml:"at" json:"at"`
+	For  Duration `toml:"for" json:"for"`
+
+	Gateways  int     `toml:"gateways,omitempty" json:"gateways,omitempty"` // of a rack
+	Backends  int     `toml:"backends,omitempty" json:"backends,omitempty"` // of a rack
+	Zone      string  `toml:"zone,omitempty" json:"zone,omitempty"`
+	Region    string  `toml:"region,omitempty" json:"region,omitempty"`
+	Who       string  `toml:"who,omitempty" json:"who,omitempty"`            // the process that is killed
+	ChangesPS float64 `toml:"changes_per_s,omitempty" json:"perS,omitempty"` // of restarts
+}
+
+// The kinds of faults.
+const (
+	FaultRack      = "rack"       // gateways and backends stop at once, and start again
+	FaultZone      = "zone"       // those of a zone do
+	FaultRegionCut = "region_cut" // nothing passes between the followers of a region and the group
+	FaultRestarts  = "restarts"   // backends restart at another rate
+	FaultKill      = "kill"       // a list service is killed, and started again
+	FaultGateways  = "gateways"   // all hollow gateways of a region, or of all, end and start again at once
+)
+
+// faultKinds tells what each kind is.
+var faultKinds = map[string]string{
+	FaultRack:      "a number of hollow gateways and backends stop at once, and start again after for",
+	FaultZone:      "the hollow gateways and backends of a zone stop at once, and start again after for",
+	FaultRegionCut: "nothing passes between the followers of a region and the group",
+	FaultRestarts:  "backends restart at another rate",
+	FaultKill:      "the list service that who names (writer, member1, r0-follower0) is killed, and started again after for",
+	FaultGateways:  "the hollow gateways of a region, or of all, stop at once, and start again after for",
+}
+
+// Bounds of what a scenario may ask.
+const (
+	mostHollow     = 1 << 16 // the membership numbers gateways with 16 bits
+	mostBackends   = 1 << 20
+	mostProcesses  = 200
+	mostLength     = time.Hour
+	leastLease     = 500 * time.Millisecond // of the list services
+	mostLease      = 10 * time.Minute
+	mostText       = 1 << 20 // bytes of a scenario
+	changesRestart = 3       // changes of the list for a restart
+)
+
+// Default is a small fleet.
+func Default() Scenario {
+	const second = Duration(time.Second)
+	return Scenario{Name: "default", Seed: 1, Length: 10 * second, Quiet: 15 * second,
+		Fleet:   Fleet{Members: 3, Followers: 1, Regions: 1, Zones: 3, Gateways: 30, Backends: 300, Services: 10, Lease: 10 * second},
+		Changes: Changes{PerS: 10, Drain: second, Down: second, Requests: 20, Register: 500},
+		Reading: Reading{Within: WithinAll},
+		Hosts:   Hosts{Gateways: 100, Backends: 2500, Connections: 32}}
+}
+
+// Parse reads a scenario; what it leaves out is as in Default.
+func Parse(name string, text []byte) (*Scenario, error) {
+	if len(text) > mostText {
+		return nil, fmt.Errorf("%s: %d bytes are no scenario", name, len(text))
+	}
+	s := Default()
+	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&s)
+	var unknown *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		var all []error
+		for _, e := range unknown.Errors {
+			row, _ := e.Position()
+			all = append(all, fmt.Errorf("%s:%d: %s: no such key", name, row, strings.Join(e.Key(), ".")))
+		}
+		return nil, errors.Join(all...)
+	case errors.As(err, &wrong):
+		row, _ := wrong.Position()
+		return nil, fmt.Errorf("%s:%d: %w", name, row, wrong)
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return &s, nil
+}
+
+// Check finds what can't be run on any machine.
+func (s *Scenario) Check() error {
+	var all []error
+	want := func(ok bool, format string, args ...any) {
+		if !ok {
+			all = append(all, fmt.Errorf(format, args...))
+		}
+	}
+	f := &s.Fleet
+	want(s.Length > 0 && s.Length.D() <= mostLength, "length: %v is not from 1ns to %v", s.Length, mostLength)
+	want(s.Quiet > 0 && s.Quiet.D() <= mostLength, "quiet: %v is not from 1ns to %v", s.Quiet, mostLength)
+	want(f.Members == 1 || f.Members == 3 || f.Members == 5, "fleet.members: %d is not 1, 3 or 5", f.Members)
+	want(f.Followers >= 0, "fleet.followers: %d is below 0", f.Followers)
+	want(f.Regions >= 1, "fleet.regions: %d is none", f.Regions)
+	want(f.Zones >= 1, "fleet.zones: %d is none", f.Zones)
+	want(f.Gateways >= 1 && f.Gateways <= mostHollow, "fleet.gateways: %d is not from 1 to %d", f.Gateways, mostHollow)
+	want(f.RealGateways >= 0, "fleet.real_gateways: %d is below 0", f.RealGateways)
+	want(f.Backends >= 1 && f.Backends <= mostBackends, "fleet.backends: %d is not from 1 to %d", f.Backends, mostBackends)
+	want(f.Services >= 1 && f.Services <= f.Backends, "fleet.services: %d is not from 1 to the %d backends", f.Services, f.Backends)
+	want(f.Lease.D() >= leastLease && f.Lease.D() <= mostLease, "fleet.lease: %v is not from %v to %v", f.Lease, leastLease, mostLease)
+	c := &s.Changes
+	want(c.PerS >= 0, "changes.per_s: %g is below 0", c.PerS)
+	want(c.Drain >= 0 && c.Down >= 0, "changes: drain %v and down %v must not be below 0", c.Drain, c.Down)
+	want(c.Requests >= 0, "changes.requests: %g is below 0", c.Requests)
+	want(c.Register > 0, "changes.register: %g is none", c.Register)
+	r := &s.Reading
+	want(r.Services >= 0 && r.Services <= f.Services, "reading.services: %d is not from 0 to the %d services", r.Services, f.Services)
+	want(slices.Contains([]string{WithinAll, WithinRegion, WithinZone}, r.Within), "reading.within: %q is not %s, %s or %s", r.Within, WithinAll, WithinRegion, WithinZone)
+	want(r.Services > 0 || r.Within == WithinAll, "reading.within: %q needs reading.services", r.Within)
+	want(r.Subset >= 0 && (r.Subset == 0 || r.Services > 0), "reading.subset: %d needs reading.services, and is not below 0", r.Subset)
+	h := &s.Hosts
+	want(h.Gateways >= 1 && h.Backends >= 1 && h.Connections >= 1, "hosts: each has to allow something")
+	for n, fault := range s.Faults {
+		if err := s.checkFault(fault); err != nil {
+			all = append(all, fmt.Errorf("fault[%d]: %w", n, err))
+		}
+	}
+	return errors.Join(all...)
+}
+
+func (s *Scenario) checkFault(f *Fault) error {
+	if _, known := faultKinds[f.Kind]; !known {
+		return fmt.Errorf("kind: there is no %q", f.Kind)
+	}
+	if f.At < 0 || f.For <= 0 || f.At+f.For > s.Length {
+		return fmt.Errorf("%s: at %v for %v is not within the length of %v", f.Kind, f.At, f.For, s.Length)
+	}
+	switch f.Kind {
+	case FaultRack:
+		if f.Gateways < 0 || f.Gateways > s.Fleet.Gateways || f.Backends < 0 || f.Backends > s.Fleet.Backends || f.Gateways+f.Backends == 0 {
+			return fmt.Errorf("rack: %d gateways and %d backends are none or more than there are", f.Gateways, f.Backends)
+		}
+	case FaultZone:
+		if !slices.Contains(s.zoneNames(), f.Zone) {
+			return fmt.Errorf("zone: %q is not one of %s", f.Zone, strings.Join(s.zoneNames(), ", "))
+		}
+	case FaultRegionCut:
+		if s.Fleet.Followers == 0 {
+			return errors.New("region_cut: there are no followers to cut off")
+		}
+		if !slices.Contains(s.regionNames(), f.Region) {
+			return fmt.Errorf("region: %q is not one of %s", f.Region, strings.Join(s.regionNames(), ", "))
+		}
+	case FaultGateways:
+		if f.Region != "" && !slices.Contains(s.regionNames(), f.Region) {
+			return fmt.Errorf("region: %q is not one of %s", f.Region, strings.Join(s.regionNames(), ", "))
+		}
+	case FaultRestarts:
+		if f.ChangesPS < 0 {
+			return fmt.Errorf("changes_per_s: %g is below 0", f.ChangesPS)
+		}
+	case FaultKill:
+		if f.Who != whoWriter && !slices.Contains(s.serviceNames(), f.Who) {
+			return fmt.Errorf("who: %q is not %s or one of %s", f.Who, whoWriter, strings.Join(s.serviceNames(), ", "))
+		}
+	}
+	return nil
+}
+
+// whoWriter names the member that writes when a fault comes.
+const whoWriter = "writer"
+
+func regionName(region int) string     { return fmt.Sprintf("r%d", region) }
+func zoneName(region, zone int) string { return fmt.Sprintf("r%dz%d", region, zone) }
+func serviceName(service int) string   { return fmt.Sprintf("s%d", service) }
+func memberName(member int) string     { return fmt.Sprintf("member%d", member) }
+func followerName(region, follower int) string {
+	return fmt.Sprintf("r%d-follower%d", region, follower)
+}
+
+func (s *Scenario) regionNames() (all []string) {
+	for region := range s.Fleet.Regions {
+		all = append(all, regionName(region))
+	}
+	return all
+}
+
+// zoneNames are all zones: the first of each region, then the second of each, so that
+// what is dealt out in turn is spread over the regions first.
+func (s *Scenario) zoneNames() (all []string) {
+	for zone := range s.Fleet.Zones {
+		for region := range s.Fleet.Regions {
+			all = append(all, zoneName(region, zone))
+		}
+	}
+	return all
+}
+
+func (s *Scenario) serviceNames() (all []string) {
+	for member := range s.Fleet.Members {
+		all = append(all, memberName(member))
+	}
+	for region := range s.Fleet.Regions {
+		for follower := range s.Fleet.Followers {
+			all = append(all, followerName(region, follower))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/scale/sweep.go
@@ -0,0 +1,243 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Quantities are what a sweep can vary, by name: each puts a size into a scenario.
+var quantities = map[string]func(s *Scenario, size float64){
+	"gateways": func(s *Scenario, n float64) { s.Fleet.Gateways = int(n) },
+	"backends": func(s *Scenario, n float64) { s.Fleet.Backends = int(n) },
+	"services": func(s *Scenario, n float64) { s.Fleet.Services = int(n) },
+	"changes":  func(s *Scenario, n float64) { s.Changes.PerS = n },
+	"scopes":   func(s *Scenario, n float64) { s.Reading.Services = int(n) },
+	"subset":   func(s *Scenario, n float64) { s.Reading.Subset = int(n) },
+}
+
+// Quantities are the names of what a sweep can vary.
+func Quantities() []string { return slices.Sorted(maps.Keys(quantities)) }
+
+// Sweep is a number of runs that differ in one quantity, or in two.
+type Sweep struct {
+	Quantity     string
+	Sizes        []float64
+	Against      string // another quantity; empty: none
+	AgainstSizes []float64
+}
+
+const leastSizes = 2
+
+// Check finds what can't be swept over a scenario. All its sizes have to fit this machine.
+func (w *Sweep) Check(s *Scenario) error {
+	if quantities[w.Quantity] == nil {
+		return fmt.Errorf("there is no quantity %q; there are %s", w.Quantity, strings.Join(Quantities(), ", "))
+	}
+	if len(w.Sizes) < leastSizes {
+		return fmt.Errorf("%d sizes of %s are too few", len(w.Sizes), w.Quantity)
+	}
+	if (w.Against == "") != (len(w.AgainstSizes) == 0) || w.Against != "" && (quantities[w.Against] == nil || w.Against == w.Quantity || len(w.AgainstSizes) < leastSizes) {
+		return fmt.Errorf("against %q with %d sizes: it takes another quantity with at least %d", w.Against, len(w.AgainstSizes), leastSizes)
+	}
+	machine, err := ThisMachine()
+	if err != nil {
+		return err
+	}
+	var all []error
+	for _, at := range w.points() {
+		one := w.at(s, at)
+		err := one.Check()
+		if err == nil {
+			err = NewPlan(one, firstNet).Fits(machine)
+		}
+		if err != nil {
+			all = append(all, fmt.Errorf("%s: %w", w.label(at), err))
+		}
+	}
+	return errors.Join(all...)
+}
+
+// points are the sizes of all runs; Y is not used.
+func (w *Sweep) points() (all []Point) {
+	others := w.AgainstSizes
+	if w.Against == "" {
+		others = []float64{0}
+	}
+	for _, z := range others {
+		for _, x := range w.Sizes {
+			all = append(all, Point{X: x, Z: z})
+		}
+	}
+	return all
+}
+
+// at is the scenario of one run.
+func (w *Sweep) at(s *Scenario, p Point) *Scenario {
+	one := *s
+	quantities[w.Quantity](&one, p.X)
+	if w.Against != "" {
+		quantities[w.Against](&one, p.Z)
+	}
+	return &one
+}
+
+func (w *Sweep) label(p Point) string {
+	if w.Against == "" {
+		return fmt.Sprintf("%s %g", w.Quantity, p.X)
+	}
+	return fmt.Sprintf("%s %g, %s %g", w.Quantity, p.X, w.Against, p.Z)
+}
+
+// figure is one that a sweep follows.
+type figure struct {
+	name string
+	of   func(*Result) float64
+}
+
+// figures are those of a sweep's table.
+var figures = []figure{
+	{"gateway: CPU us/s", func(r *Result) float64 { return r.Gateway.CPUUsPerS }},
+	{"gateway: in B/s", func(r *Result) float64 { return r.Gateway.InPerS }},
+	{"gateway: out B/s", func(r *Result) float64 { return r.Gateway.OutPerS }},
+	{"gateway: instances/s", func(r *Result) float64 { return r.Gateway.EntriesPerS }},
+	{"gateway: allocations/s", func(r *Result) float64 { return r.Gateway.AllocsPerS }},
+	{"gateway: allocated B/s", func(r *Result) float64 { return r.Gateway.AllocBytesPerS }},
+	{"gateway: held KB", func(r *Result) float64 { return r.Gateway.HeldKB }},
+	{"gateway: backends", func(r *Result) float64 { return r.Gateway.Backends }},
+	{"writer: CPU ms/s", ofRole(roleWriter, func(r Role) float64 { return r.CPUMsPerS })},
+	{"writer: in B/s", ofRole(roleWriter, func(r Role) float64 { return r.InPerS })},
+	{"writer: out B/s", ofRole(roleWriter, func(r Role) float64 { return r.OutPerS })},
+	{"writer: answers/s", ofRole(roleWriter, func(r Role) float64 { return r.AnswersPS })},
+	{"writer: resident MB", ofRole(roleWriter, func(r Role) float64 { return r.MemoryMB })},
+	{"member: CPU ms/s", ofRole(roleMember, func(r Role) float64 { return r.CPUMsPerS })},
+	{"member: in B/s", ofRole(roleMember, func(r Role) float64 { return r.InPerS })},
+	{"member: resident MB", ofRole(roleMember, func(r Role) float64 { return r.MemoryMB })},
+	{"follower: CPU ms/s", ofRole(roleFollower, func(r Role) float64 { return r.CPUMsPerS })},
+	{"follower: in B/s", ofRole(roleFollower, func(r Role) float64 { return r.InPerS })},
+	{"follower: out B/s", ofRole(roleFollower, func(r Role) float64 { return r.OutPerS })},
+	{"follower: answers/s", ofRole(roleFollower, func(r Role) float64 { return r.AnswersPS })},
+	{"follower: resident MB", ofRole(roleFollower, func(r Role) float64 { return r.MemoryMB })},
+	{"backends: calls/s", func(r *Result) float64 { return r.Backend.CallsPerS }},
+	{"backend: CPU us/call", func(r *Result) float64 { return r.Backend.CPUUsCall }},
+	{"membership: sent B/s", ofMembers(func(m *Membership) float64 { return m.SentBytesPerS })},
+	{"membership: sent/s", ofMembers(func(m *Membership) float64 { return m.SentPerS })},
+	{"told: p50 ms", func(r *Result) float64 { return r.Told.P50.Seconds() * 1000 }},
+	{"told: p99 ms", func(r *Result) float64 { return r.Told.P99.Seconds() * 1000 }},
+	{"told: most ms", func(r *Result) float64 { return r.Told.Most.Seconds() * 1000 }},
+}
+
+func ofRole(name string, f func(Role) float64) func(*Result) float64 {
+	return func(r *Result) float64 {
+		role, _ := r.Role(name)
+		return f(role)
+	}
+}
+
+func ofMembers(f func(*Membership) float64) func(*Result) float64 {
+	return func(r *Result) float64 {
+		if r.Members == nil {
+			return 0
+		}
+		return f(r.Members)
+	}
+}
+
+// Table is what a sweep came to.
+type Table struct {
+	Sweep   *Sweep
+	Points  []Point
+	Results []*Result
+	Fits    map[string]Fit // by the figure
+	Failed  []string       // why counts of runs do not add up
+}
+
+// Run makes the runs, one after the other, and fits their figures. Each result is
+// written to results as a line of JSON. With an error, the table has what was measured
+// before it.
+func (w *Sweep) Run(ctx context.Context, s *Scenario, o Options, results io.Writer) (*Table, error) {
+	t := &Table{Sweep: w, Fits: map[string]Fit{}}
+	dir := o.Dir
+	var failed error
+	for n, at := range w.points() {
+		if o.Live != nil {
+			fmt.Fprintf(o.Live, "%s:\n", w.label(at))
+		}
+		o.Dir = filepath.Join(dir, fmt.Sprint(n))
+		r, err := Run(ctx, w.at(s, at), o)
+		if err != nil {
+			failed = fmt.Errorf("%s: %w", w.label(at), err)
+			break
+		}
+		t.Points, t.Results = append(t.Points, at), append(t.Results, r)
+		if why := r.Failed(); why != "" {
+			t.Failed = append(t.Failed, w.label(at)+": "+why)
+		}
+		if err := r.JSON(results); err != nil {
+			return t, err
+		}
+	}
+	t.fit()
+	return t, failed
+}
+
+func (t *Table) fit() {
+	if len(t.Points) < leastSizes {
+		return
+	}
+	for _, f := range figures {
+		points := slices.Clone(t.Points)
+		for n, r := range t.Results {
+			points[n].Y = f.of(r)
+		}
+		if t.Sweep.Against != "" {
+			t.Fits[f.name] = FitTwo(points)
+		} else {
+			t.Fits[f.name] = FitOne(points)
+		}
+	}
+}
+
+// Report writes the figures by size, and how each grows. Figures that are 0 in all runs
+// are left out.
+func (t *Table) Report(out io.Writer) {
+	if len(t.Results) == 0 {
+		return
+	}
+	fmt.Fprintln(out)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "figure")
+	for _, p := range t.Points {
+		fmt.Fprintf(w, "\t%s", t.Sweep.label(p))
+	}
+	fmt.Fprintln(w, "\tform")
+	for _, f := range figures {
+		none := true
+		line := f.name
+		for _, r := range t.Results {
+			y := f.of(r)
+			none = none && y == 0
+			line += fmt.Sprintf("\t%.4g", y)
+		}
+		if fit, there := t.Fits[f.name]; there {
+			line += "\t" + fit.String()
+		}
+		if !none {
+			fmt.Fprintln(w, line)
+		}
+	}
+	w.Flush()
+	for n, r := range t.Results {
+		fmt.Fprintf(out, "%s: %d changes in %.1f s to %d readings, %d missing; %d of %d gateways hold the writer's list; at most %.0f MB\n",
+			t.Sweep.label(t.Points[n]), r.Changes, r.Seconds, r.Told.Readings, r.Told.Missing, r.Final.Same, r.Final.Of, r.MostMB)
+	}
+	for _, why := range t.Failed {
+		fmt.Fprintln(out, "does not add up:", why)
+	}
+}
