Scale runs: gateways that read scopes, and restarts at drawn moments

Hollow gateways read the services, of their region or zone, that the scenario says, through the client's scopes; the final check and the latencies are of what each of them reads. Restarts came at fixed gaps, so that at one or three a second drains, leaves and registrations of different backends fell into one answer and the figures by changes were bent by it; the gaps are drawn now.

--- a/internal/gateway/hollow.go
+++ b/internal/gateway/hollow.go
@@ -23,10 +23,12 @@
 
 var errNoRegistries = errors.New("registries: a gateway without clients follows list services")
 
-// NewHollow makes a gateway of the text of a configuration. Each answer of the list
-// services that tells something new goes to observe, from a goroutine of the gateway,
-// before the gateway takes it in.
-func NewHollow(config []byte, observe func(registry.Told)) (*Hollow, error) {
+// NewHollow makes a gateway of the text of a configuration. It reads the scopes in place of
+// those of the configuration, if there are any: they may be of several services, as a
+// gateway with routes by service would read them. Each answer of the list services that
+// tells something new goes to observe, from a goroutine of the gateway, before the gateway
+// takes it in.
+func NewHollow(config []byte, scopes []registry.Scope, observe func(registry.Told)) (*Hollow, error) {
 	c, err := parseConfig(config)
 	if err != nil {
 		return nil, err
@@ -40,6 +42,9 @@
 	h := &Hollow{pools: newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), backends, figures)}
 	h.loop = newLoop(&c, figures.service(c.Deployment, c.mostBody()), figures, h.pools, nil, func() {})
 	h.follow = newListFollower(&c, h.loop)
+	if len(scopes) > 0 {
+		h.follow.services.SetScopes(scopes)
+	}
 	if h.members, err = newMembers(&c, h.loop); err != nil {
 		return nil, err
 	}
--- a/internal/scale/backends.go
+++ b/internal/scale/backends.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	settings := churnSettings{Renew: c.Renew, Drain: c.Drain, Down: c.Down, Register: c.Register}
-	f := &backendFleet{config: c, door: door, caller: newCaller(c.Members, c.Answers, c.Connections, c.Scoped),
+	f := &backendFleet{config: c, door: door, caller: newCaller(c.Members, c.Answers, c.Connections),
 		churn:    newChurn(c.Backends, settings, rand.New(rand.NewPCG(seed, 1))),
 		commands: make(chan Command, 1), asked: make(chan chan churnState), ended: make(chan struct{})}
 	f.server = &http.Server{ReadHeaderTimeout: callWait, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/scale/calls.go
+++ b/internal/scale/calls.go
@@ -27,15 +27,14 @@
 	http    *http.Client
 	members []string
 	answers string // the address that all its backends are reached at
-	scoped  bool
 
 	mu     sync.Mutex
 	next   int    // of the members
 	writer string // that answered last, or was named
 }
 
-func newCaller(members []string, answers string, connections int, scoped bool) *caller {
-	return &caller{members: members, answers: answers, scoped: scoped, writer: members[0],
+func newCaller(members []string, answers string, connections int) *caller {
+	return &caller{members: members, answers: answers, writer: members[0],
 		http: &http.Client{Timeout: callWait,
 			Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
@@ -106,11 +105,7 @@
 	method, body := http.MethodPost, any(ownCall{StartedAtMs: k.started})
 	switch k.kind {
 	case callRegister:
-		r := registration{HostPort: c.answers, Zone: b.Zone, MachineType: machineType, Cell: 0, StartedAtMs: k.started}
-		if c.scoped {
-			r.Service, r.Region = b.Service, b.Region
-		}
-		method, body = http.MethodPut, r
+		method, body = http.MethodPut, registration{HostPort: c.answers, Zone: b.Zone, MachineType: machineType, StartedAtMs: k.started, Service: b.Service, Region: b.Region}
 	case callRenew:
 		path += "/renew"
 	case callDrain:
--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -130,8 +130,11 @@
 	}
 }
 
+// restartGap is drawn, so that restarts do not fall together with the drains and the
+// registrations of those before them.
 func (c *churn) restartGap() time.Duration {
-	return time.Duration(float64(time.Second) / c.restarts)
+	mean := time.Duration(float64(time.Second) / c.restarts)
+	return c.between(mean/2, mean+mean/2)
 }
 
 // settled says whether every backend that is not stopped serves.
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"path/filepath"
 
+	"dunlintray/internal/registry"
 	"dunlintray/internal/scenario"
 )
 
@@ -17,6 +18,11 @@
 	config := object{"listen": s.Listen, "control": s.Control, "lease_ms": p.Scenario.Fleet.Lease.D().Milliseconds(),
 		"limits": object{"instances": p.Scenario.Fleet.Backends + spareInstances, "connections": p.connections(), "watchers": p.watchers(),
 			"lists_per_s": listsPerS}}
+	if s := p.Scenario; s.Reading.Services > 0 {
+		limits := config["limits"].(object)
+		readers := 2 * (s.Fleet.Gateways + s.Fleet.RealGateways)
+		limits["subscriptions"], limits["subscribed_scopes"] = readers, max(readers*s.Reading.Services, leastScopes)
+	}
 	if s.Member == 0 {
 		config["writer"] = p.Services[s.Copies].Listen
 		if s.Link != "" {
@@ -38,6 +44,7 @@
 const (
 	spareInstances = 100
 	listsPerS      = 100 // as the list service's own default
+	leastScopes    = 4096
 )
 
 // Of a gateway's configuration that no hollow one uses.
@@ -49,7 +56,7 @@
 
 // gatewayConfig is the configuration of a hollow gateway, or of a real one, which has the
 // numbers behind the hollow ones. The fleet of the settings is what the membership knows.
-func (p *Plan) gatewayConfig(n int, place Place, scopes []Scope) ([]byte, error) {
+func (p *Plan) gatewayConfig(n int, place Place, scopes []registry.Scope) ([]byte, error) {
 	f := &p.Scenario.Fleet
 	s := scenario.Default()
 	s.Name, s.Seed = p.Scenario.Name, p.Scenario.Seed
@@ -78,12 +85,8 @@
 	settings["familyInfo"].(object)["hasCounter"] = false
 	delete(config, "counter")
 	delete(config, "peers_all")
-	if len(scopes) > 0 {
-		var all []string
-		for _, scope := range scopes {
-			all = append(all, scope.String())
-		}
-		config["scopes"] = all
+	if len(scopes) > 0 && real >= 0 {
+		config["scopes"] = []string{scopes[0].String()} // a gateway that serves has one service
 	}
 	if size := p.Scenario.Reading.Subset; size > 0 {
 		config["subset"] = object{"size": size}
@@ -109,7 +112,7 @@
 	for host := range p.BackendHosts {
 		c := HostConfig{Name: fmt.Sprintf("backends%d", host), Seed: s.Seed + uint64(host), Backends: &BackendsHost{
 			Members: p.Members(), Answers: p.answers(host), Connections: s.Hosts.Connections, Renew: s.Fleet.Lease.D() / renewals,
-			Drain: s.Changes.Drain.D(), Down: s.Changes.Down.D(), Register: s.Changes.Register / float64(p.BackendHosts), Scoped: s.Reading.Services > 0}}
+			Drain: s.Changes.Drain.D(), Down: s.Changes.Down.D(), Register: s.Changes.Register / float64(p.BackendHosts)}}
 		for n := host; n < len(p.Backends); n += p.BackendHosts {
 			c.Backends.Backends = append(c.Backends.Backends, p.Backends[n])
 		}
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -40,7 +40,7 @@
 	floorShare    = 0.02 // of the largest Y: a residual is never taken relative to less
 	betterBy      = 2.0  // a form with more coefficients must leave so much less
 	leastForBend  = 4    // points
-	constantRange = 0.10 // what Y may differ in all, relative, to be constant whatever the noise
+	constantRange = 0.15 // what Y may differ in all, relative, to be constant whatever the noise
 )
 
 // At is the figure that the fit expects.
--- a/internal/scale/gateways.go
+++ b/internal/scale/gateways.go
@@ -69,7 +69,7 @@
 // start begins a life of the gateway.
 func (h *hollow) start(ctx context.Context) error {
 	l := &life{}
-	g, err := gateway.NewHollow(h.Config, func(t registry.Told) { h.heard(l, t) })
+	g, err := gateway.NewHollow(h.Config, h.Scopes, func(t registry.Told) { h.heard(l, t) })
 	if err != nil {
 		return fmt.Errorf("gateway %d: %w", h.Number, err)
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -7,6 +7,8 @@
 	"os"
 	"strings"
 	"syscall"
+
+	"dunlintray/internal/registry"
 )
 
 // Place is a hollow gateway's or backend's: its number, zone and region.
@@ -28,37 +30,14 @@
 // Gateway is one hollow gateway and what it reads.
 type Gateway struct {
 	Place
-	Scopes []Scope `json:"scopes,omitempty"` // none: the whole list
-}
-
-// Scope is a part of the list: the backends of a service, of one region or zone where it
-// names one.
-type Scope struct {
-	Service string `json:"service"`
-	Region  string `json:"region,omitempty"`
-	Zone    string `json:"zone,omitempty"`
-}
-
-// Has says whether a backend is of the scope.
-func (s Scope) Has(b Backend) bool {
-	return s.Service == b.Service && (s.Region == "" || s.Region == b.Region) && (s.Zone == "" || s.Zone == b.Zone)
-}
-
-// String is the scope as the list services and the configuration of gateways have it.
-func (s Scope) String() string {
-	switch {
-	case s.Zone != "":
-		return s.Service + "@zone=" + s.Zone
-	case s.Region != "":
-		return s.Service + "@region=" + s.Region
-	}
-	return s.Service
+	Scopes []registry.Scope `json:"scopes,omitempty"` // none: the whole list
 }
 
 // Reads says whether a backend is of the part of the list that the gateway reads.
 func (g Gateway) Reads(b Backend) bool {
+	instance := registry.Instance{Service: b.Service, Region: b.Region, Zone: b.Zone}
 	for _, scope := range g.Scopes {
-		if scope.Has(b) {
+		if scope.Matches(instance) {
 			return true
 		}
 	}
@@ -162,15 +141,15 @@
 
 // scopesOf are those that the gateway of a number reads: services in a row, so that all
 // are read by about as many gateways.
-func (s *Scenario) scopesOf(n int) (all []Scope) {
+func (s *Scenario) scopesOf(n int) (all []registry.Scope) {
 	for k := range s.Reading.Services {
 		all = append(all, s.scope(s.place(n), (n*s.Reading.Services+k)%s.Fleet.Services))
 	}
 	return all
 }
 
-func (s *Scenario) scope(at Place, service int) Scope {
-	scope := Scope{Service: serviceName(service)}
+func (s *Scenario) scope(at Place, service int) registry.Scope {
+	scope := registry.Scope{Service: serviceName(service)}
 	switch s.Reading.Within {
 	case WithinRegion:
 		scope.Region = at.Region
--- a/internal/scale/protocol.go
+++ b/internal/scale/protocol.go
@@ -36,7 +36,6 @@
 	Drain       time.Duration `json:"drain"`
 	Down        time.Duration `json:"down"`
 	Register    float64       `json:"register"`
-	Scoped      bool          `json:"scoped"` // they name their service and region
 }
 
 // Command is one line that a process of hollow ones is told.
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -42,6 +42,38 @@
 	return Options{Registry: program, Host: []string{self}, Dir: dir}
 }
 
+// TestRunWithScopes lets gateways read parts of the list: each holds just the backends of
+// its services in its zone, and is told of no other change.
+func TestRunWithScopes(t *testing.T) {
+	s := smallScenario()
+	s.Reading = Reading{Services: 2, Within: WithinZone}
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	plan := NewPlan(s, firstNet)
+	for _, g := range plan.Gateways {
+		reads := 0
+		for _, b := range plan.Backends {
+			if g.Reads(b) {
+				reads++
+			}
+		}
+		if reads < r.Final.Least || reads > r.Final.Most {
+			t.Errorf("gateway %d reads %d backends, and all hold %d to %d", g.Number, reads, r.Final.Least, r.Final.Most)
+		}
+	}
+	if r.Final.Most >= s.Fleet.Backends/2 || r.Final.Same != 5 || r.Final.Of != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	if whole := int64(r.Changes * s.Fleet.Gateways); r.Told.Readings == 0 || r.Told.Readings >= whole/2 {
+		t.Errorf("%d readings of %d changes by %d gateways that read a sixth", r.Told.Readings, r.Changes, s.Fleet.Gateways)
+	}
+}
+
 // children are the processes that this one has started and that still run.
 func children(t *testing.T) (all []string) {
 	t.Helper()
