--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -86,11 +86,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seconds := after.at.Sub(before.at).Seconds()
-	out := &Result{Scenario: r.s, Seconds: seconds, Changes: len(changes), Versions: after.version - before.version, Final: final, MostMB: r.most, Marks: r.marks,
+	out := &Result{Scenario: r.s, Seconds: seconds, Changes: len(changes), Versions: after.version - before.version, Final: final, MostMB: r.most, Marks: slices.Clone(r.marks),
 		Told: LatencySummary{latency.All(), latency.Quantile(0.5), latency.Quantile(0.99), latency.Most, latency.Missing}}
 	if r.load != nil {
 		out.Requests = r.load.stop()
 	}
+	if before.writer != after.writer {
+		out.Marks = append(out.Marks, fmt.Sprintf("%s wrote at the beginning and %s at the end: the roles' figures are of both", before.writer, after.writer))
+	}
 	out.Roles = r.roles(before, after, seconds)
 	var gateways, backends Sample
 	for n := range after.gateways {
@@ -233,7 +236,7 @@
 	if m := r.Members; m != nil {
 		fmt.Fprintf(out, "membership of one gateway: %.1f datagrams/s of %.0f B/s sent, %.1f/s received, %.2f/s dropped; it holds %.1f present\n", m.SentPerS, m.SentBytesPerS, m.ReceivedPerS, m.DroppedPerS, m.Present)
 	}
-	fmt.Fprintf(out, "from a change's answer to a gateway's news: p50 %v, p99 %v, most %v of %d; %d missing\n", r.Told.P50, r.Told.P99, r.Told.Most.Round(time.Millisecond), r.Told.Readings, r.Told.Missing)
+	fmt.Fprintf(out, "from a change's answer to a gateway's news: p50 %v, p99 %v, most %v of %d; %d missing\n", r.Told.P50.Round(time.Millisecond), r.Told.P99.Round(time.Millisecond), r.Told.Most.Round(time.Millisecond), r.Told.Readings, r.Told.Missing)
 	if r.Requests != nil {
 		fmt.Fprintf(out, "requests through real gateways, by status: %v\n", r.Requests)
 	}
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -236,6 +236,9 @@
 	for n, r := range t.Results {
 		fmt.Fprintf(out, "%s: %d changes in %.1f s to %d readings, %d missing; %d of %d gateways hold the writer's list; at most %.0f MB\n",
 			t.Sweep.label(t.Points[n]), r.Changes, r.Seconds, r.Told.Readings, r.Told.Missing, r.Final.Same, r.Final.Of, r.MostMB)
+		for _, mark := range r.Marks {
+			fmt.Fprintf(out, "%s: %s\n", t.Sweep.label(t.Points[n]), mark)
+		}
 	}
 	for _, why := range t.Failed {
 		fmt.Fprintln(out, "does not add up:", why)
