--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -36,6 +36,9 @@
 		double(defect)
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "scale-host" {
+		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) // of a scale run, which starts its own program
+	}
 	os.Exit(func() int {
 		var err error
 		if bin, err = os.MkdirTemp("", "dunlintray-test-"); err != nil {
--- a/cmd/dunlintray/scale.go
+++ b/cmd/dunlintray/scale.go
@@ -150,6 +150,9 @@
 
 func (c *scaleRunCmd) Run(ctx context.Context, out io.Writer) (err error) {
 	s, err := c.read()
+	if err == nil {
+		err = scale.Fits(s)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/scale/backends.go
+++ b/internal/scale/backends.go
@@ -57,6 +57,10 @@
 	return f, nil
 }
 
+// warmSince is for how long backends are said to have been up at the start of a run: real
+// gateways send little to cold ones.
+const warmSince = 10 * time.Minute
+
 const changesGap = 200 * time.Millisecond // between two reports of changes
 
 func (f *backendFleet) run(ctx context.Context, ready func(), changed func([]Change)) {
@@ -90,7 +94,7 @@
 func (f *backendFleet) loop(ctx context.Context, calls chan<- call, answers <-chan answer, ready func(), changed func([]Change)) {
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	f.churn.start(now(), time.Now().UnixMilli())
+	f.churn.start(now(), began.Add(-warmSince).UnixMilli())
 	var due []call // that wait for a connection
 	var changes []Change
 	told := false
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -53,7 +53,9 @@
 				case <-ctx.Done():
 					return
 				case n := <-due:
-					l.count(ask(ctx, client, gateways[n%len(gateways)], n))
+					if status := ask(ctx, client, gateways[n%len(gateways)], n); ctx.Err() == nil {
+						l.count(status)
+					}
 				}
 			}
 		})
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -287,6 +287,15 @@
 // mostMemoryMB is what a run may use.
 func (m Machine) mostMemoryMB() float64 { return memoryShare * m.MemoryMB }
 
+// Fits says what a scenario asks that this machine does not have, or that no run may use.
+func Fits(s *Scenario) error {
+	machine, err := ThisMachine()
+	if err != nil {
+		return fmt.Errorf("what this machine has can't be told: %w", err)
+	}
+	return NewPlan(s, firstNet).Fits(machine)
+}
+
 // Fits says what a plan asks that a machine does not have, or that no run may use.
 func (p *Plan) Fits(m Machine) error {
 	var all []error
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("what this machine has can't be told: %w", err)
 	}
-	if err := NewPlan(s, firstNet).Fits(machine); err != nil {
+	if err := Fits(s); err != nil {
 		return nil, err
 	}
 	deadline := s.Length.D() + s.Quiet.D() + startMargin + time.Duration(float64(s.Fleet.Backends)/s.Changes.Register*float64(time.Second))
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -46,16 +46,12 @@
 	if (w.Against == "") != (len(w.AgainstSizes) == 0) || w.Against != "" && (quantities[w.Against] == nil || w.Against == w.Quantity || len(w.AgainstSizes) < leastSizes) {
 		return fmt.Errorf("against %q with %d sizes: it takes another quantity with at least %d", w.Against, len(w.AgainstSizes), leastSizes)
 	}
-	machine, err := ThisMachine()
-	if err != nil {
-		return err
-	}
 	var all []error
 	for _, at := range w.points() {
 		one := w.at(s, at)
 		err := one.Check()
 		if err == nil {
-			err = NewPlan(one, firstNet).Fits(machine)
+			err = Fits(one)
 		}
 		if err != nil {
 			all = append(all, fmt.Errorf("%s: %w", w.label(at), err))
