--- a/cmd/dunlintray/main_test.go
+++ b/cmd/dunlintray/main_test.go
@@ -36,8 +36,8 @@
 		double(defect)
 		return
 	}
-	if len(os.Args) > 1 && os.Args[1] == "scale-host" {
-		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) // of a scale run, which starts its own program
+	if len(os.Args) > 1 && strings.HasPrefix(os.Args[1], "scale") {
+		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) // a scale run, which starts its own program again
 	}
 	os.Exit(func() int {
 		var err error
--- a/cmd/dunlintray/scale_test.go
+++ b/cmd/dunlintray/scale_test.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"dunlintray/internal/scale"
 )
@@ -39,6 +44,63 @@
 	}
 }
 
+// TestScaleKilled kills a run: the system ends its processes with it.
+func TestScaleKilled(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "scale", "--registry", filepath.Join(bin, "registry"), "--dir", t.TempDir(), "--real-gateways", "0",
+		"--gateways", "3", "--backends", "6", "--services", "2", "--lease", "1s", "--length", "1m")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	for in := bufio.NewScanner(out); in.Scan() && !strings.Contains(in.Text(), "measuring"); {
+	}
+	left := childrenOf(t, cmd.Process.Pid)
+	if len(left) != 6 { // three members, a follower, and a process each of gateways and of backends
+		t.Errorf("it has the processes %v", left)
+	}
+	cmd.Process.Kill()
+	cmd.Wait()
+	const patience = 5 * time.Second
+	for end := time.Now().Add(patience); len(left) > 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		left = slices.DeleteFunc(left, func(pid string) bool {
+			text, err := os.ReadFile("/proc/" + pid + "/stat")
+			return err != nil || strings.Contains(string(text), ") Z ")
+		})
+	}
+	if len(left) > 0 {
+		t.Errorf("%v after it, the processes %v are left", patience, left)
+	}
+}
+
+// childrenOf are the processes that one has started and that run.
+func childrenOf(t *testing.T, pid int) (all []string) {
+	t.Helper()
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has ended meanwhile
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		if fields := strings.Fields(rest); len(fields) > 1 && fields[1] == strconv.Itoa(pid) {
+			all = append(all, filepath.Base(filepath.Dir(path)))
+		}
+	}
+	return all
+}
+
 func TestScaleRefuses(t *testing.T) {
 	for want, args := range map[string][]string{
 		"no such file":            {"scale", "moonshot"},
