--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -109,18 +109,18 @@
 		return constant
 	}
 	linear := solve(points, Linear, 0, func(p Point) []float64 { return []float64{1, p.X} })
+	other := solve(points, Sum, 0, func(p Point) []float64 { return []float64{1, 0, p.Z} })
 	product := solve(points, Product, 0, func(p Point) []float64 { return []float64{1, p.X * p.Z} })
 	sum := solve(points, Sum, 0, func(p Point) []float64 { return []float64{1, p.X, p.Z} })
 	best := constant
-	for _, next := range []Fit{linear, product, sum} {
-		better := betterBy
-		if best.Form != Constant && next.Form == Product {
-			better = 1 // as many coefficients
-		}
-		if next.Residual < best.Residual/better {
+	for _, next := range []Fit{linear, other, product} { // as many coefficients
+		if next.Residual < constant.Residual/betterBy && next.Residual < best.Residual {
 			best = next
 		}
 	}
+	if sum.Residual < best.Residual/betterBy {
+		best = sum
+	}
 	if best.Residual > fitTolerance {
 		best.Form = Unclear
 	}
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -75,6 +75,7 @@
 	}{
 		{func(x, z float64) float64 { return 7 }, Constant},
 		{func(x, z float64) float64 { return 10 + 3*x }, Linear},
+		{func(x, z float64) float64 { return 10 + 3*z }, Sum},
 		{func(x, z float64) float64 { return 200 + 0.5*x*z }, Product},
 		{func(x, z float64) float64 { return 20 + 5*x + 90*z }, Sum},
 	} {
@@ -90,5 +91,8 @@
 			t.Errorf("want %s: %v", c.want, f)
 		}
 		near(t, string(c.want), f.At(100, 3), c.f(100, 3), 0.05)
+		if c.want == Sum && c.f(0, 0) == 10 && f.Slope != 0 {
+			t.Errorf("a figure of the other quantity alone: %v", f)
+		}
 	}
 }
