--- a/internal/scale/churn_test.go
+++ b/internal/scale/churn_test.go
@@ -146,20 +146,31 @@
 	}
 }
 
-func TestExpected(t *testing.T) {
-	list := registry.Listing{Generation: 7, Instances: []registry.Instance{{ID: "b-000000", Lifecycle: registry.Ready}, {ID: "b-000001", Lifecycle: registry.Ready}}}
-	backends := map[string]Backend{"b-000000": {Service: "s0"}, "b-000001": {Service: "s1"}}
-	one := expected(Gateway{Scopes: []registry.Scope{{Service: "s1"}}}, list, backends)
-	if one.Count != 1 || one.Version != 7 {
-		t.Errorf("%+v", one)
-	}
-	whole := expected(Gateway{}, list, backends)
+func TestShares(t *testing.T) {
+	list := registry.Listing{Generation: 7, Instances: []registry.Instance{
+		{ID: "a", Service: "s0", Region: "r0", Zone: "r0z0", Lifecycle: registry.Ready},
+		{ID: "b", Service: "s1", Region: "r0", Zone: "r0z0", Lifecycle: registry.Ready},
+		{ID: "c", Service: "s1", Region: "r1", Zone: "r1z0", Lifecycle: registry.Ready}}}
+	of := func(scopes ...registry.Scope) View { return newShares(list).of(Gateway{Scopes: scopes}) }
+	whole := of()
+	for want, scopes := range map[int][]registry.Scope{
+		1: {{Service: "s0"}},
+		2: {{Service: "s0"}, {Service: "s1", Region: "r1"}},
+		0: {{Service: "s0", Zone: "r1z0"}, {Service: "s9"}},
+	} {
+		if got := of(scopes...); got.Count != want || got.Version != 7 || got.Digest == whole.Digest {
+			t.Errorf("%v: %+v, want %d", scopes, got, want)
+		}
+	}
+	if all := of(registry.Scope{Service: "s0"}, registry.Scope{Service: "s1"}); all != whole || whole.Count != 3 {
+		t.Errorf("all services are %+v, the whole list is %+v", all, whole)
+	}
 	list.Instances[0], list.Instances[1] = list.Instances[1], list.Instances[0]
-	if again := expected(Gateway{}, list, backends); again != whole || whole.Count != 2 {
+	if again := of(); again != whole {
 		t.Errorf("the order of a list tells: %+v and %+v", whole, again)
 	}
 	list.Instances[0].Lifecycle = registry.Terminating
-	if other := expected(Gateway{}, list, backends); other.Digest == whole.Digest {
+	if other := of(); other.Digest == whole.Digest {
 		t.Error("a drain does not tell")
 	}
 }
--- a/internal/scale/follow.go
+++ b/internal/scale/follow.go
@@ -69,17 +69,48 @@
 	*d += digest(h.Sum64())
 }
 
-// expected is what a gateway holds that has the writer's list.
-func expected(g Gateway, list registry.Listing, backends map[string]Backend) View {
-	v := View{Gateway: g.Number, Version: list.Generation}
-	var d digest
+// share is a part of a list: how many instances, and their digest.
+type share struct {
+	count  int
+	digest digest
+}
+
+func (s *share) add(i registry.Instance) {
+	s.count++
+	s.digest.add(i.ID, i.Lifecycle)
+}
+
+// shares are the parts of the writer's list that gateways can read.
+type shares struct {
+	version int64
+	whole   share
+	scopes  map[registry.Scope]share
+}
+
+func newShares(list registry.Listing) *shares {
+	all := &shares{version: list.Generation, scopes: map[registry.Scope]share{}}
 	for _, i := range list.Instances {
-		if b, known := backends[i.ID]; known && !g.Reads(b) {
-			continue
+		all.whole.add(i)
+		for _, scope := range []registry.Scope{{Service: i.Service}, {Service: i.Service, Region: i.Region}, {Service: i.Service, Zone: i.Zone}} {
+			part := all.scopes[scope]
+			part.add(i)
+			all.scopes[scope] = part
+		}
+	}
+	return all
+}
+
+// of is what a gateway holds that has the writer's list. Its scopes are of different
+// services, so that none has a part of another.
+func (s *shares) of(g Gateway) View {
+	sum := s.whole
+	if len(g.Scopes) > 0 {
+		sum = share{}
+		for _, scope := range g.Scopes {
+			part := s.scopes[scope]
+			sum.count += part.count
+			sum.digest += part.digest
 		}
-		v.Count++
-		d.add(i.ID, i.Lifecycle)
 	}
-	v.Digest = uint64(d)
-	return v
+	return View{Gateway: g.Number, Version: s.version, Count: sum.count, Digest: uint64(sum.digest)}
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -632,12 +632,8 @@
 	if err != nil {
 		return nil, err
 	}
-	backends := map[string]Backend{}
-	for _, b := range r.plan.Backends {
-		backends[b.ID()] = b
-	}
+	shares := newShares(list)
 	f := &Final{Checked: r.s.Reading.Subset == 0, Listed: len(list.Instances)}
-	var whole *View
 	for _, h := range r.gateways {
 		views, err := h.view()
 		if err != nil {
@@ -649,13 +645,7 @@
 			}
 			f.Most = max(f.Most, v.Count)
 			f.Of++
-			g := r.plan.Gateways[v.Gateway]
-			want := View{}
-			if whole != nil && len(g.Scopes) == 0 {
-				want = *whole
-			} else if want = expected(g, list, backends); len(g.Scopes) == 0 {
-				whole = &want
-			}
+			want := shares.of(r.plan.Gateways[v.Gateway])
 			if v.Count == want.Count && v.Digest == want.Digest {
 				f.Same++
 			} else if f.First == "" {
