--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -91,6 +91,9 @@
 	if len(c.Registries) > 0 {
 		var unknown unknownScopes
 		f.services = registry.NewClient(c.Registries, rand.New(rand.NewPCG(c.Seed, 1)), func(told registry.Told) {
+			if c.observe != nil {
+				c.observe(told)
+			}
 			unknown.see(told.Unknown)
 			if scopes, changed := f.change.answered(told.Scopes, told.Unknown); changed {
 				f.services.SetScopes(scopes)
