--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -3,15 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,13 +30,6 @@
 	leastAfter  = time.Second
 )
 
-// ServerLimits bound a Server.
-type ServerLimits struct {
-	Connections int
-	Watchers    int
-	Lists       float64 // whole lists in a second
-}
-
 // Server answers readers and writers of one Store.
 type Server struct {
 	limits ServerLimits
@@ -57,6 +47,7 @@
 	lists      float64 // that may be asked for now
 	listsAt    time.Time
 	random     *rand.Rand
+	subscribed *subscriptions
 
 	keeper  *keeper        // makes changes last; nil: nothing does
 	agreed  *agreed        // of a list that a group agrees on; else nil
@@ -72,7 +63,8 @@
 
 // NewWriter serves a store of its own at an address that others know.
 func NewWriter(self string, store *Store, limits ServerLimits, began time.Time, random *rand.Rand) *Server {
-	return &Server{self: self, limits: limits, store: store, began: began, news: make(chan struct{}), random: random,
+	limits = limits.withDefaults()
+	return &Server{self: self, limits: limits, store: store, subscribed: newSubscriptions(), began: began, news: make(chan struct{}), random: random,
 		lists: limits.Lists, listsAt: began, leaving: make(chan struct{}), ended: make(chan struct{})}
 }
 
@@ -80,7 +72,7 @@
 func (s *Server) Retune(limits Limits, serves ServerLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store.limits, s.limits = limits, serves
+	s.store.limits, s.limits = limits, serves.withDefaults()
 }
 
 func (s *Server) now() time.Duration { return time.Since(s.began) }
@@ -178,230 +170,6 @@
 	s.news = make(chan struct{})
 }
 
-// Handler answers the calls of readers and writers.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+Path, s.read)
-	mux.HandleFunc("GET "+FencePath, s.fenceHandler)
-	mux.HandleFunc("POST "+FencePath, s.fenceHandler)
-	for pattern, f := range map[string]func(id string, r *http.Request) (Written, error){
-		"PUT " + Path + "/{id}":            s.register,
-		"POST " + Path + "/{id}/renew":     s.renew,
-		"POST " + Path + "/{id}/lifecycle": s.lifecycle,
-		"DELETE " + Path + "/{id}":         s.leave,
-	} {
-		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-			if writer := s.writer.Load(); writer != nil {
-				if *writer == "" {
-					s.fail(w, refuse(http.StatusServiceUnavailable, "nobody writes now"))
-					return
-				}
-				w.Header().Set("Location", "http://"+*writer+r.URL.RequestURI())
-				s.fail(w, refuse(http.StatusTemporaryRedirect, "writes go to %s", *writer))
-				return
-			}
-			// A time-out of the server's own would end watches too.
-			control := http.NewResponseController(w)
-			control.SetReadDeadline(time.Now().Add(readWait))
-			written, err := f(r.PathValue("id"), r)
-			if err != nil {
-				w.Header().Set("Connection", "close") // the rest of its body may still come
-				s.fail(w, err)
-				return
-			}
-			control.SetReadDeadline(time.Time{})
-			s.write(w, fmt.Appendf(nil, `{"version":%d,"lifecycle":%q,"leaseMs":%d}`+"\n", written.Version, written.Lifecycle, s.lease().Milliseconds()))
-		})
-	}
-	return mux
-}
-
-// writeCall is the body of a write. All calls name the process by its start, and may
-// name the version that its instance is at; 0: that it is not on the list.
-type writeCall struct {
-	HostPort    string    `json:"hostPort"`
-	Zone        string    `json:"zone"`
-	MachineType string    `json:"machineType"`
-	Cell        int       `json:"cell"`
-	Lifecycle   Lifecycle `json:"lifecycle"`
-	Weight      *float64  `json:"weight"`
-	StartedAtMs *int64    `json:"startedAtMs"`
-	IfVersion   *int64    `json:"ifVersion"`
-}
-
-func readCall(r *http.Request) (writeCall, error) {
-	var c writeCall
-	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, mostCall))
-	var long *http.MaxBytesError
-	switch {
-	case errors.As(err, &long):
-		return c, refuse(http.StatusRequestEntityTooLarge, "a call has %d bytes at most", mostCall)
-	case err != nil:
-		return c, refuse(http.StatusBadRequest, "the call did not come whole")
-	}
-	if err := decode(text, &c); err != nil {
-		return c, refuse(http.StatusBadRequest, "%v", err)
-	}
-	if c.StartedAtMs == nil {
-		return c, refuse(http.StatusBadRequest, "startedAtMs is missing")
-	}
-	return c, nil
-}
-
-func (s *Server) register(id string, r *http.Request) (Written, error) {
-	c, err := readCall(r)
-	if err != nil {
-		return Written{}, err
-	}
-	i := Instance{ID: id, HostPort: c.HostPort, Zone: c.Zone, MachineType: c.MachineType, Cell: c.Cell,
-		Lifecycle: c.Lifecycle, Weight: 1, StartedAtMs: *c.StartedAtMs}
-	if c.Weight != nil {
-		i.Weight = *c.Weight
-	}
-	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Register(now, i, c.IfVersion) })
-}
-
-func (s *Server) renew(id string, r *http.Request) (Written, error) {
-	c, err := readCall(r)
-	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs}) {
-		err = refuse(http.StatusBadRequest, "a renewal has startedAtMs alone")
-	}
-	if err != nil {
-		return Written{}, err
-	}
-	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Renew(now, id, *c.StartedAtMs) })
-}
-
-func (s *Server) lifecycle(id string, r *http.Request) (Written, error) {
-	c, err := readCall(r)
-	if err == nil && c != (writeCall{StartedAtMs: c.StartedAtMs, Lifecycle: c.Lifecycle, IfVersion: c.IfVersion}) {
-		err = refuse(http.StatusBadRequest, "a change of lifecycle has lifecycle, startedAtMs and ifVersion alone")
-	}
-	if err != nil {
-		return Written{}, err
-	}
-	return s.writeChange(func(now time.Duration) (Written, error) {
-		return s.store.SetLifecycle(now, id, *c.StartedAtMs, c.Lifecycle, c.IfVersion)
-	})
-}
-
-func (s *Server) leave(id string, r *http.Request) (Written, error) {
-	started, err := number(r, "startedAtMs", 0, mostStart)
-	if err == nil && started < 0 {
-		err = refuse(http.StatusBadRequest, "startedAtMs is missing")
-	}
-	if err != nil {
-		return Written{}, err
-	}
-	var expect *int64
-	if version, err := number(r, "ifVersion", 0, mostStart); err != nil {
-		return Written{}, err
-	} else if version >= 0 {
-		expect = &version
-	}
-	return s.writeChange(func(now time.Duration) (Written, error) { return s.store.Leave(now, id, started, expect) })
-}
-
-// number reads a number of a call's query; -1: it names none.
-func number(r *http.Request, name string, least, most int64) (int64, error) {
-	values := r.URL.Query()[name]
-	if len(values) == 0 {
-		return -1, nil
-	}
-	n, err := strconv.ParseInt(values[0], 10, 64)
-	if err != nil || len(values) > 1 || n < least || n > most {
-		return -1, refuse(http.StatusBadRequest, "%s: %.40q is not a number from %d to %d", name, values[0], least, most)
-	}
-	return n, nil
-}
-
-// read answers with the whole list, or waits for what is new.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	since, err := number(r, "since", 0, mostStart)
-	wait, waitErr := number(r, "timeout_ms", 0, longestWait.Milliseconds())
-	if err = errors.Join(err, waitErr); err != nil {
-		s.fail(w, err)
-		return
-	}
-	history := r.URL.Query().Get("history")
-	if since < 0 {
-		wait = 0
-	}
-	body, name, epoch, err := s.await(r.Context(), since, history, time.Duration(max(wait, 0))*time.Millisecond)
-	if err != nil {
-		s.fail(w, err)
-		return
-	}
-	w.Header().Set(HistoryHeader, name)
-	w.Header().Set(EpochHeader, strconv.FormatInt(epoch, 10))
-	if s.age != nil && s.writer.Load() != nil {
-		w.Header().Set(AgeHeader, strconv.FormatInt(s.age(), 10))
-	}
-	s.write(w, body)
-}
-
-// await waits for an answer.
-func (s *Server) await(ctx context.Context, since int64, history string, wait time.Duration) (body []byte, name string, epoch int64, err error) {
-	if wait > 0 {
-		defer s.figures.watchers.Add(-1)
-		if most := s.mostWatchers(); s.figures.watchers.Add(1) > int64(most) {
-			return nil, "", 0, refuse(http.StatusServiceUnavailable, "there are %d watchers", most)
-		}
-	}
-	over := time.NewTimer(wait)
-	defer over.Stop()
-	leaving := s.leaving
-	for last := wait <= 0; ; {
-		s.mu.Lock()
-		a, err := s.store.Read(s.now(), since, history)
-		if fenced := s.refuseFenced(); fenced != nil {
-			err = fenced
-		}
-		name, epoch, news := s.store.history, s.store.epoch, s.news
-		switch ahead := s.writer.Load() != nil && since > s.store.version && history == name; {
-		case ahead && !last: // a follower will know by and by
-		case err != nil:
-			s.mu.Unlock()
-			return nil, "", 0, err
-		case a.Whole && !s.mayList():
-			s.mu.Unlock()
-			return nil, "", 0, refuse(http.StatusServiceUnavailable, "too many ask for the whole list")
-		case !a.Nothing || last:
-			s.mu.Unlock()
-			return a.Body, name, epoch, nil
-		}
-		s.mu.Unlock()
-		select {
-		case <-news:
-		case <-over.C:
-			last = true
-		case <-leaving:
-			// All would ask elsewhere at once.
-			leaving = nil
-			over.Reset(s.between(0, leaveWithin))
-		case <-ctx.Done():
-			return nil, "", 0, ctx.Err()
-		}
-	}
-}
-
-func (s *Server) mostWatchers() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.limits.Watchers
-}
-
-// mayList bounds the whole lists, of which each costs as much as many changes.
-func (s *Server) mayList() bool {
-	now := time.Now()
-	s.lists = min(s.lists+now.Sub(s.listsAt).Seconds()*s.limits.Lists, s.limits.Lists)
-	if s.listsAt = now; s.lists < 1 {
-		return false
-	}
-	s.lists--
-	return true
-}
-
 func (s *Server) between(least, most time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -423,40 +191,6 @@
 	}
 }
 
-// write gives an answer, for which a watcher has so long.
-func (s *Server) write(w http.ResponseWriter, body []byte) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if s.left() {
-		w.Header().Set("Connection", "close")
-	}
-	control := http.NewResponseController(w)
-	control.SetWriteDeadline(time.Now().Add(writeWait))
-	s.figures.answers.Add(1)
-	_, err := w.Write(body)
-	if err = cmp.Or(err, control.Flush()); err != nil { // a short answer fails only when it is sent
-		s.figures.cut.Add(1)
-		return
-	}
-	s.figures.bytes.Add(int64(len(body)))
-}
-
-// fail says in one line why a call changed nothing.
-func (s *Server) fail(w http.ResponseWriter, err error) {
-	var r *Refusal
-	if !errors.As(err, &r) {
-		r = &Refusal{http.StatusServiceUnavailable, err.Error()}
-	}
-	if r.Status == http.StatusServiceUnavailable {
-		s.figures.turnedAway.Add(1)
-		w.Header().Set("Retry-After", strconv.FormatFloat(s.between(leastAfter, mostAfter).Seconds(), 'f', 3, 64))
-	} else {
-		s.figures.refused.Add(1)
-	}
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
-	http.Error(w, r.Text, r.Status)
-}
-
 // Serve answers on a listener, and operators on another, until ctx ends; then
 // it lets watchers move on, at differing moments, and returns.
 func (s *Server) Serve(ctx context.Context, l, operators net.Listener) error {
@@ -511,90 +245,3 @@
 	}
 	return broken
 }
-
-// ready tells whether reads are answered.
-func (s *Server) ready() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.now() >= s.store.gathering && !s.left() && s.store.fence == nil && (s.agreed == nil || s.store.history != "")
-}
-
-// control answers operators.
-func (s *Server) control() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !s.ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	})
-	mux.HandleFunc("POST /control/promote", func(w http.ResponseWriter, _ *http.Request) {
-		err := refuse(http.StatusConflict, "this is the writer")
-		if s.promote != nil {
-			err = s.promote()
-		}
-		if err != nil {
-			s.fail(w, err)
-		}
-	})
-	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) { s.writeFigures(w) })
-	mux.HandleFunc("GET /control/where", func(w http.ResponseWriter, _ *http.Request) {
-		s.mu.Lock()
-		where := struct {
-			History string `json:"history"`
-			Version int64  `json:"version"`
-			Epoch   int64  `json:"epoch"`
-			Writer  string `json:"writer,omitempty"`
-			Fenced  string `json:"fencedBy,omitempty"`
-			AgeMs   *int64 `json:"ageMs,omitempty"`
-		}{History: s.store.history, Version: s.store.version, Epoch: s.store.epoch}
-		if s.store.fence != nil {
-			where.Fenced = s.store.fence.Writer
-		}
-		s.mu.Unlock()
-		if writer := s.writer.Load(); writer != nil {
-			where.Writer = *writer
-		}
-		if s.age != nil {
-			age := s.age()
-			where.AgeMs = &age
-		}
-		json.NewEncoder(w).Encode(where)
-	})
-	return mux
-}
-
-// writeFigures puts the figures out, a line each.
-func (s *Server) writeFigures(w io.Writer) {
-	s.mu.Lock()
-	st := s.store.Stats()
-	s.mu.Unlock()
-	f := &s.figures
-	type line struct {
-		name string
-		n    int64
-		kind string
-	}
-	lines := []line{{"version", st.Version, "g"}, {"instances", int64(st.Instances), "g"}, {"history", int64(st.History), "g"},
-		{"history_bytes", int64(st.Bytes), "g"}, {"watchers", f.watchers.Load(), "g"}, {"overdue", int64(st.Overdue), "g"},
-		{"registered", st.Registered, "c"}, {"renewed", st.Renewed, "c"}, {"lapsed", st.Lapsed, "c"}, {"pauses", st.Pauses, "c"},
-		{"encoded", st.Encoded, "c"}, {"joined", st.Joined, "c"}, {"answers", f.answers.Load(), "c"},
-		{"answer_bytes", f.bytes.Load(), "c"}, {"watchers_cut", f.cut.Load(), "c"}, {"refused", f.refused.Load(), "c"},
-		{"turned_away", f.turnedAway.Load(), "c"}}
-	if s.age != nil {
-		lines = append(lines, line{"age_ms", s.age(), "g"})
-	}
-	if s.keeper != nil && s.keeper.log != nil {
-		k := s.keeper.log.Stats()
-		since := int64(-1)
-		if !k.SnapshotAt.IsZero() {
-			since = time.Since(k.SnapshotAt).Milliseconds()
-		}
-		lines = append(lines, line{"data.syncs", k.Syncs, "c"}, line{"data.sync_us", k.Wait.Microseconds(), "c"}, line{"data.longest_sync_us", k.LongestWait.Microseconds(), "g"},
-			line{"data.records", k.Records, "c"}, line{"data.no_room", k.NoRoom, "c"}, line{"data.bytes", k.Bytes, "g"}, line{"data.segments", int64(k.Segments), "g"},
-			line{"data.snapshot_bytes", k.SnapshotBytes, "g"}, line{"data.snapshot_age_ms", since, "g"}, line{"data.recovery_us", k.Recovery.Took.Microseconds(), "g"},
-			line{"data.cut_bytes", k.Recovery.CutBytes, "g"})
-	}
-	for _, l := range lines {
-		fmt.Fprintf(w, "registry.%s:%d|%s\n", l.name, l.n, l.kind)
-	}
-}
