A call to a group that runs out of time names its last failure

If the context ended during a try, the error of that try replaced the real cause. Client.call now keeps the last error from before the end of its context.

--- a/internal/group/client.go
+++ b/internal/group/client.go
@@ -97,8 +97,10 @@
 	}
 }
 
-// call makes a call until a member answers it for the group, or ctx ends.
+// call makes a call until a member answers it for the group, or ctx ends. Then the error
+// has the last cause from before the end: that of a try which ctx cut short says nothing.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) (status int, text []byte, err error) {
+	var cause error
 	for tries := 1; ; tries++ {
 		address := c.next()
 		status, text, err = c.once(ctx, method, "http://"+address+path, body)
@@ -109,13 +111,16 @@
 			err = fmt.Errorf("%s: %d: %s", address, status, bytes.TrimSpace(text))
 		}
 		c.failed(address, err)
+		if cause == nil || ctx.Err() == nil {
+			cause = err
+		}
 		pause := time.Duration(0)
 		if tries%c.members == 0 {
 			pause = clientPause
 		}
 		select {
 		case <-ctx.Done():
-			return 0, nil, fmt.Errorf("%w: %w", ctx.Err(), err)
+			return 0, nil, fmt.Errorf("%w: %w", ctx.Err(), cause)
 		case <-time.After(pause):
 		}
 	}
