--- a/internal/link/relay.go
+++ b/internal/link/relay.go
@@ -36,11 +36,11 @@
 
 // Relay carries the connections of one link.
 type Relay struct {
-	door   *Door
-	target string
-	limits Limits
-	began  time.Time
-	wg     sync.WaitGroup
+	listener *Listener
+	target   string
+	limits   Limits
+	began    time.Time
+	wg       sync.WaitGroup
 
 	mu      sync.Mutex
 	changed sync.Cond // a fault, a queue, or an end; on mu
@@ -77,7 +77,7 @@
 	r := &Relay{target: target, limits: limits, began: time.Now(), hows: [2]How{{Kind: Up}, {Kind: Up}}, conns: map[*conn]bool{},
 		random: rand.New(rand.NewPCG(seed, 1))}
 	r.changed.L = &r.mu
-	door, err := NewDoor(address, func(c net.Conn) {
+	listener, err := NewListener(address, func(c net.Conn) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if !r.closed {
@@ -87,12 +87,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay to %s: %w", target, err)
 	}
-	r.door = door
+	r.listener = listener
 	return r, nil
 }
 
 // Address is where it listens.
-func (r *Relay) Address() string { return r.door.Address() }
+func (r *Relay) Address() string { return r.listener.Address() }
 
 func (r *Relay) now() time.Duration { return time.Since(r.began) }
 
@@ -124,7 +124,7 @@
 		}
 	}
 	r.changed.Broadcast()
-	return r.door.Set(step)
+	return r.listener.Set(step)
 }
 
 // Stats returns the figures.
@@ -145,7 +145,7 @@
 	}
 	r.changed.Broadcast()
 	r.mu.Unlock()
-	r.door.Close()
+	r.listener.Close()
 	r.wg.Wait()
 }
 
--- a/internal/play/links.go
+++ b/internal/play/links.go
@@ -21,10 +21,10 @@
 // backend, or as the counter. Each has an address of its own, so that it is known
 // who connects, and so that one link can fail without the others.
 type peer struct {
-	e       *engine
-	gateway int
-	number  int // of the backend, or world.Counter
-	door    *link.Door
+	e        *engine
+	gateway  int
+	number   int // of the backend, or world.Counter
+	listener *link.Listener
 
 	mu    sync.Mutex
 	state world.LinkState
@@ -47,7 +47,7 @@
 func newPeer(e *engine, gateway, number int, address string) (*peer, error) {
 	p := &peer{e: e, gateway: gateway, number: number, conns: map[*served]bool{}}
 	var err error
-	p.door, err = link.NewDoor(address, p.take)
+	p.listener, err = link.NewListener(address, p.take)
 	return p, err
 }
 
@@ -65,7 +65,7 @@
 	p.e.wg.Go(s.run)
 }
 
-var doorsteps = map[world.LinkState]link.Doorstep{world.Up: link.Open, world.Refusing: link.Refusing, world.Silent: link.Silent}
+var listenerStates = map[world.LinkState]link.ListenerState{world.Up: link.Open, world.Refusing: link.Refusing, world.Silent: link.Silent}
 
 // set carries out a change of the link. On a silent one, connections stand and
 // say nothing, and new ones never come up.
@@ -79,11 +79,11 @@
 		clear(p.conns)
 	}
 	p.mu.Unlock()
-	return p.door.Set(doorsteps[state])
+	return p.listener.Set(listenerStates[state])
 }
 
 func (p *peer) close() {
-	p.door.Close()
+	p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.conns {
