--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -21,6 +21,8 @@
 		capacity.FigureTable:     capacity.Table(figures),
 		capacity.RankingTable:    capacity.Ranking(figures),
 		capacity.MissingTable:    capacity.Table(model.Missing()),
+		capacity.ScopedTable:     capacity.Table(model.Scoped()),
+		capacity.ScopedRanking:   capacity.Ranking(model.Scoped()),
 	}
 }
 
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -18,6 +18,7 @@
 	FigureTable     = "figures"
 	RankingTable    = "ranking"
 	ScopedTable     = "scoped"
+	ScopedRanking   = "scoped ranking"
 	MissingTable    = "missing"
 )
 
--- /dev/null
+++ b/internal/capacity/scoped_test.go
@@ -0,0 +1,281 @@
+package capacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dunlintray/internal/registry"
+	"dunlintray/internal/subset"
+)
+
+const region = "eu-1"
+
+var (
+	scopeSizes        = []int{1, 3, 9, 27, 81, 243, 1_100}
+	candidateSizes    = []int{274, 823, 2_469, 7_407, 22_222}
+	subscriptionSizes = []int{10, 30, 90, 270}
+)
+
+const subscribedScopes = 100 // of each subscription that is measured
+
+// scopedQuantities are measured with scopes and subsets on.
+var scopedQuantities = []quantity{
+	{"scoped_feed_bytes_instance", "B by instances of one scope", 1.25, candidateSizes, 2, func(t testing.TB, n int) float64 {
+		list := parsedScoped(t, n)
+		defer runtime.KeepAlive(&list)
+		return retained(func() any { return scopedFeed(t, list) })
+	}},
+	{"subset_bytes_candidate", "B by candidates of which 100 are used, without their texts", 1.25, candidateSizes, 2, func(t testing.TB, n int) float64 {
+		list := parsedScoped(t, n)
+		defer runtime.KeepAlive(&list)
+		return retained(func() any {
+			s := newSelector()
+			s.Apply(0, list)
+			return s
+		})
+	}},
+	{"scoped_list_bytes_instance", "B of the list of one scope by its instances", 1.2, candidateSizes, 3, func(t testing.TB, n int) float64 {
+		return float64(len(readScoped(t, scopedStore(t, n, 1, 20_000), -1, scopesOf(1))))
+	}},
+	{"scoped_answer_bytes_change", "B of an answer to a scope by changes in it", 1.2, []int{1, 3, 9, 27, 81, 243}, 6, func(t testing.TB, n int) float64 {
+		s := scopedStore(t, 1000, 1, 20_000)
+		from := s.Stats().Version
+		for k := range n {
+			register(t, s, scopedInstance(k, 1, 2))
+		}
+		return float64(len(readScoped(t, s, from, scopesOf(1))))
+	}},
+	{"scoped_store_bytes_instance", "B by instances in services of 18, no history", 1.25, candidateSizes, 2, func(t testing.TB, n int) float64 {
+		return retained(func() any { return scopedStore(t, n, (n+17)/18, 0) })
+	}},
+	{"subscription_bytes", "B of the call that names the scopes, by scopes", 1.2, scopeSizes, 7, func(t testing.TB, n int) float64 {
+		return float64(len(subscriptionText(0, n)))
+	}},
+	{"service_bytes_subscription", "B of heap by subscriptions of 100 scopes each, all others'", 1.25, subscriptionSizes, 3, subscriptionBytes},
+	{"scoped_watch_wire", "B on the wire of a watch call with one change, both ways, by scopes of the reader", 1.2, scopeSizes, 2, scopedWatchWire},
+	{"scoped_change_allocations", "allocations of a change that concerns one of so many watchers, each with a subscription of its own", 1.5, watcherSizes[2:], 2, func(t testing.TB, n int) float64 {
+		return scopedChange(t, n, 8).allocations
+	}},
+}
+
+// scopedTimes are of the processor.
+var scopedTimes = []quantity{
+	{"scoped_change_us", "us of a change that concerns one of so many watchers, by watchers", 0, watcherSizes[2:], 0, func(t testing.TB, n int) float64 {
+		return scopedChange(t, n, 50).micros
+	}},
+	{"subset_us_change", "us of a change of a candidate, by candidates", 0, candidateSizes, 0, func(t testing.TB, n int) float64 {
+		list := parsedScoped(t, n)
+		s := newSelector()
+		s.Apply(0, list)
+		now, k := time.Duration(0), 0
+		return micros(func() {
+			now, k = now+time.Second, k+1
+			i := list.Instances[k%n]
+			i.Weight = float64(1 + k/n%2)
+			s.Apply(now, registry.Listing{Generation: list.Generation + int64(k), Instances: []registry.Instance{i}})
+		})
+	}},
+	{"decision_us_subset", "us of a decision by backends of a subset", 0, []int{10, 30, 100, 300}, 0, func(t testing.TB, n int) float64 {
+		m := newModuleWith(unlimited(), n)
+		return micros(func() { m.mustServe(t) })
+	}},
+}
+
+func serviceName(n int) string { return fmt.Sprintf("service-%05d", n) }
+
+// scopedInstance is the n-th of a list that spreads over so many services.
+func scopedInstance(n, services int, started int64) registry.Instance {
+	i := instance(n, started)
+	i.Service, i.Region = serviceName(n%services), region
+	return i
+}
+
+func scopedStore(t testing.TB, instances, services, history int) *registry.Store {
+	limits := registry.Limits{Lease: time.Hour, Instances: instances, History: history, HistoryBytes: 1 << 40}
+	s := registry.NewStore(limits, "h", 1000, -limits.Lease)
+	for n := range instances {
+		register(t, s, scopedInstance(n, services, 1))
+	}
+	return s
+}
+
+// scopesOf are so many services, each in the region.
+func scopesOf(services int) (scopes []registry.Scope) {
+	for n := range services {
+		scopes = append(scopes, registry.Scope{Service: serviceName(n), Region: region})
+	}
+	return scopes
+}
+
+func readScoped(t testing.TB, s *registry.Store, since int64, scopes []registry.Scope) []byte {
+	set, err := registry.NewScopeSet(scopes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := s.ReadScoped(0, registry.ScopedRead{Since: since, Scopes: set})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.Body
+}
+
+func parsedScoped(t testing.TB, n int) registry.Listing {
+	list, err := registry.ParseListing(readScoped(t, scopedStore(t, n, 1, 20_000), -1, scopesOf(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+func scopedFeed(t testing.TB, list registry.Listing) *registry.Feed {
+	f := registry.NewFeed([]string{"127.0.0.1:1"}, random())
+	f.SetScopes(scopesOf(1))
+	own := copied(list)
+	for n := range own.Instances {
+		own.Instances[n].Service, own.Instances[n].Region = strings.Clone(own.Instances[n].Service), strings.Clone(own.Instances[n].Region)
+	}
+	if _, err := f.Answered(own, "h", 0); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func newSelector() *subset.Selector {
+	return subset.New("gateway-17", subset.Settings{Size: 100, Coverage: 20, Fleet: 8700})
+}
+
+// subscriptionText names so many scopes, those from a first one on.
+func subscriptionText(first, scopes int) []byte {
+	var call struct {
+		Scopes []string `json:"scopes"`
+	}
+	for n := range scopes {
+		call.Scopes = append(call.Scopes, registry.Scope{Service: serviceName(first + n), Region: region}.String())
+	}
+	text, err := json.Marshal(call)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// post names scopes to a service and returns their id.
+func post(t testing.TB, conn net.Conn, text []byte) string {
+	in := make([]byte, 4096)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", registry.SubscriptionsPath, len(text), text)
+	n, body, err := answered(conn, in)
+	var reply struct{ Subscription string }
+	if err == nil {
+		err = json.Unmarshal(in[body:n], &reply)
+	}
+	if err != nil || reply.Subscription == "" {
+		t.Fatalf("%v: %s", err, in[:n])
+	}
+	return reply.Subscription
+}
+
+func subscriptionBytes(t testing.TB, n int) float64 {
+	s := newService(t, 10, 10)
+	defer s.close()
+	conn := dial(t, s.address)
+	defer conn.Close()
+	post(t, conn, subscriptionText(0, subscribedScopes))
+	before := heapInUse()
+	for k := range n {
+		post(t, conn, subscriptionText((k+1)*subscribedScopes, subscribedScopes))
+	}
+	return float64(heapInUse() - before)
+}
+
+// scopedChange is what a change costs with so many watchers, each of a service of its own,
+// where it concerns one of them.
+func scopedChange(t testing.TB, watchers, changes int) (c cost) {
+	s := newScopedService(t, watchers, 2*watchers+10)
+	defer s.close()
+	told := make(chan struct{}, watchers)
+	caller := dial(t, s.address)
+	defer caller.Close()
+	for n := range watchers {
+		w := newScopedWatcher(t, s.address, post(t, caller, subscriptionText(n, 1)), s.version)
+		defer w.Close()
+		go w.run(told)
+	}
+	s.awaitWatchers(t, watchers)
+	writer := dial(t, s.address)
+	defer writer.Close()
+	var mallocsBefore float64
+	var began time.Duration
+	for n := range changesFirst + changes {
+		if n == changesFirst {
+			mallocsBefore, began = mallocs(), processor()
+		}
+		changeScoped(t, writer, n%watchers, watchers, int64(n+2))
+		<-told
+	}
+	c.allocations = (mallocs() - mallocsBefore) / float64(changes)
+	c.micros = float64((processor() - began).Microseconds()) / float64(changes)
+	return c
+}
+
+func newScopedService(t testing.TB, services, connections int) *service {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newServiceOf(t, l, scopedStore(t, max(services, 100), services, 20_000), connections)
+}
+
+func newScopedWatcher(t testing.TB, address, id string, version int64) *watcher {
+	w := &watcher{Conn: dial(t, address), in: make([]byte, 4096), request: make([]byte, 0, 256), prefix: "subscription=" + id + "&history=h&"}
+	if err := w.ask(version); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// changeScoped registers another start of an instance.
+func changeScoped(t testing.TB, writer net.Conn, n, services int, started int64) {
+	i := scopedInstance(n, services, started)
+	body := fmt.Sprintf(`{"hostPort":%q,"zone":%q,"machineType":"std","service":%q,"region":%q,"startedAtMs":%d}`, i.HostPort, i.Zone, i.Service, i.Region, i.StartedAtMs)
+	put(t, writer, i.ID, body)
+}
+
+// scopedWatchWire is what a watch call of the real client with so many scopes comes to.
+func scopedWatchWire(t testing.TB, scopes int) float64 {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted := &countingListener{Listener: inner}
+	services := max(scopes, 100)
+	s := newServiceOf(t, counted, scopedStore(t, services, services, 20_000), 10)
+	defer s.close()
+	heard := make(chan struct{}, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	client := registry.NewClient([]string{s.address}, random(), func(registry.Told) { heard <- struct{}{} })
+	client.SetScopes(scopesOf(scopes))
+	wg.Go(func() { client.Run(ctx, nil) })
+	<-heard
+	writer := dial(t, s.address)
+	defer writer.Close()
+	const rounds = 10
+	var before int64
+	for n := range rounds + 1 {
+		if n == 1 {
+			before = counted.bytes.Load()
+		}
+		changeScoped(t, writer, 0, services, int64(n+2))
+		<-heard
+	}
+	return float64(counted.bytes.Load()-before) / rounds // the next call may have begun before or after
+}
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -126,10 +126,14 @@
 func (a Assumptions) Table(target Target, slopes Slopes) string {
 	var b strings.Builder
 	b.WriteString("| assumption | value | what it is | doubled, these figures move by a factor of |\n| --- | --- | --- | --- |\n")
-	base := Model{target, a, slopes}.Figures()
+	figures := func(a Assumptions) []Figure {
+		m := Model{target, a, slopes}
+		return append(m.Figures(), m.Scoped()...)
+	}
+	base := figures(a)
 	for _, x := range a {
 		var moves []string
-		doubled := Model{target, a.With(x.Name, 2*x.Value), slopes}.Figures()
+		doubled := figures(a.With(x.Name, 2*x.Value))
 		for n, f := range base {
 			if ratio := doubled[n].Value / f.Value; f.Key != "" && math.Abs(ratio-1) >= 0.02 {
 				moves = append(moves, fmt.Sprintf("%s %s", f.Key, Number(ratio)))
