Capacity page: tables name the figures that assumptions move

Need: the table of assumptions spoke of figures by names that stood nowhere else. The names stand at their rows now, racks, routes and configuration have some too.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -191,7 +191,7 @@
 		{"", role, "a start", "bytes of the whole list", list, "B", readerListBytes, byProgram, "list_bytes_instance", nothing, needsScopes},
 		{"whole list", role, "a start", "time for it within the budget of the network", seconds(list), "s", t.InForceSeconds, byTarget, "list_bytes_instance", nothing, needsScopes},
 		{"", role, "a start", "processor time of taking it in", s.At("list_read_us", t.Backends) / 1e6, "s", t.InForceSeconds, byTarget, "list_read_us", nothing, ""},
-		{"", role, "a rack goes", "time until it is told within that budget", seconds(m.burstBytes(a(rackBackends))), "s", t.InForceSeconds, byTarget, "answer_bytes_change", "one answer for a burst", ""},
+		{"rack", role, "a rack goes", "time until it is told within that budget", seconds(m.burstBytes(a(rackBackends))), "s", t.InForceSeconds, byTarget, "answer_bytes_change", "one answer for a burst", ""},
 		{"zone lost", role, "a zone goes, or comes back", "time until it is told within that budget", seconds(m.burstBytes(t.ZoneBackends)), "s", t.InForceSeconds, byTarget, "answer_bytes_change", "one answer for a burst", needsScopes},
 		{"region back", role, "a region is back after an hour", "time until what was missed is told within that budget", seconds(back), "s", t.InForceSeconds, byTarget, "answer_bytes_change, list_bytes_instance", nothing, needsScopes},
 		{"", role, "a control machine goes", "time until another is asked", 2.2, "s", t.InForceSeconds, byTarget, "design.md, told within 6 s", "the next address", ""},
@@ -304,12 +304,12 @@
 	peak := perS * a(peakOverMean) * a(configurationBytes)
 	routes := t.Routes * a(routeBytes)
 	return []Figure{
-		{"", "routes in a gateway", "steady state", "memory, all routes", routes, "B", t.GatewayBytes, byTarget, "bytes_of_a_route", nothing, "routes by service"},
-		{"", "routes in a gateway", "steady state", "memory, those of its services", routes * share, "B", t.GatewayBytes, byTarget, "bytes_of_a_route, services_of_a_gateway", nothing, "routes by service"},
+		{"all routes", "routes in a gateway", "steady state", "memory, all routes", routes, "B", t.GatewayBytes, byTarget, "bytes_of_a_route", nothing, "routes by service"},
+		{"its routes", "routes in a gateway", "steady state", "memory, those of its services", routes * share, "B", t.GatewayBytes, byTarget, "bytes_of_a_route, services_of_a_gateway", nothing, "routes by service"},
 		{"", "routes in a gateway", "a start", "time for those of its services within the budget of the network", routes * share / t.GatewayBytesPerS, "s", t.InForceSeconds, byTarget, "bytes_of_a_route, services_of_a_gateway", nothing, "routes by service"},
 		{"", "spreading of configuration", "29,000 changes a day", "changes at the peak", perS * a(peakOverMean), "a second", 0, noBudget, "peak_over_mean_changes", "a file and SIGHUP", "a watch of configuration"},
 		{"", "spreading of configuration", "29,000 changes a day", "network by whole files, as SIGHUP needs them, mean", perS * routes, "B/s", t.GatewayBytesPerS, byTarget, "bytes_of_a_route", "a file and SIGHUP", "a watch of configuration"},
-		{"", "spreading of configuration", "29,000 changes a day", "network by changes, all, at the peak", peak, "B/s", t.GatewayBytesPerS, byTarget, "bytes_of_a_configuration_change", nothing, "a watch of configuration"},
+		{"configuration network", "spreading of configuration", "29,000 changes a day", "network by changes, all, at the peak", peak, "B/s", t.GatewayBytesPerS, byTarget, "bytes_of_a_configuration_change", nothing, "a watch of configuration"},
 		{"", "spreading of configuration", "29,000 changes a day", "network by changes, those of its services, at the peak", peak * share, "B/s", t.GatewayBytesPerS, byTarget, "bytes_of_a_configuration_change, services_of_a_gateway", nothing, "a watch of configuration"},
 		{"", "spreading of configuration", "29,000 changes a day", "calls by an operator's tool to all gateways, mean", perS * t.Gateways, "a second", 0, noBudget, "none: one for each change and gateway", nothing, "a watch of configuration"},
 	}
@@ -320,11 +320,19 @@
 	var b strings.Builder
 	b.WriteString("| role | event | quantity | at the target | budget | ratio | rests on | carried by |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, f := range figures {
-		fmt.Fprintf(&b, "| %s | %s | %s | %s %s | %s | %s | %s | %s |\n", f.Role, f.Event, f.Quantity, Number(f.Value), f.Unit, f.budget(), f.ratio(), f.Rests, f.Carried)
+		fmt.Fprintf(&b, "| %s | %s | %s | %s %s | %s | %s | %s | %s |\n", f.Role, f.Event, f.named(), Number(f.Value), f.Unit, f.budget(), f.ratio(), f.Rests, f.Carried)
 	}
 	return b.String()
 }
 
+// named is the quantity, with the name that the table of assumptions has for it.
+func (f Figure) named() string {
+	if f.Key == "" {
+		return f.Quantity
+	}
+	return fmt.Sprintf("%s (`%s`)", f.Quantity, f.Key)
+}
+
 func (f Figure) budget() string {
 	if f.Budget == 0 {
 		return noBudget
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -128,7 +129,7 @@
 	b.WriteString("| assumption | value | what it is | doubled, these figures move by a factor of |\n| --- | --- | --- | --- |\n")
 	figures := func(a Assumptions) []Figure {
 		m := Model{target, a, slopes}
-		return append(m.Figures(), m.Scoped()...)
+		return slices.Concat(m.Figures(), m.Scoped(), m.Missing())
 	}
 	base := figures(a)
 	for _, x := range a {
@@ -140,7 +141,7 @@
 			}
 		}
 		if len(moves) == 0 {
-			moves = []string{"none"}
+			moves = []string{"none; ratios alone, or rows without a name"}
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", x.Name, Number(x.Value), x.Means, strings.Join(moves, ", "))
 	}
