Registry: a burst of changes is compared with the services of waiting readers

For each of 1,000 readers with scopes of their own a burst of 1,000 changes was gone through: 55 ms with the server's lock held.

--- a/internal/registry/scope.go
+++ b/internal/registry/scope.go
@@ -233,6 +233,24 @@
 	return slices.ContainsFunc(s.byService[other.Service], func(scope Scope) bool { return scope.covers(other) })
 }
 
+// meets reports whether one of the scopes is of one of the services.
+func (s *ScopeSet) meets(services map[string]bool) bool {
+	if len(services) < len(s.byService) {
+		for name := range services {
+			if len(s.byService[name]) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	for name := range s.byService {
+		if services[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // has reports whether a scope is one of the set.
 func (s *ScopeSet) has(scope Scope) bool {
 	return s != nil && slices.Contains(s.byService[scope.Service], scope)
--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -577,6 +577,7 @@
 				for watch := range s.watches {
 					watch.question.Since = since
 				}
+				s.passedOver = since
 				s.passOver()
 			}
 			for watch := range s.watches {
--- a/internal/registry/scoped.go
+++ b/internal/registry/scoped.go
@@ -89,7 +89,7 @@
 // It looks at the changes behind that version alone, and only at whom they concern. A
 // reader that is told so is as good as at the store's version.
 func (s *Store) Quiet(q ScopedRead) bool {
-	if q.History != s.history || q.joins() || q.Since < s.from || q.Since > s.version {
+	if !s.continues(q) {
 		return false
 	}
 	for n := s.behind(q.Since); n < len(s.changes); n++ {
@@ -100,6 +100,27 @@
 	return true
 }
 
+// continues reports whether a reader that waits can go on from its version by changes.
+func (s *Store) continues(q ScopedRead) bool {
+	return q.History == s.history && !q.joins() && q.Since >= s.from && q.Since <= s.version
+}
+
+// servicesChanged returns the services that the changes since a version concern.
+func (s *Store) servicesChanged(since int64) map[string]bool {
+	names := map[string]bool{}
+	for n := s.behind(since); n < len(s.changes); n++ {
+		c := &s.changes[n]
+		if c.places == nil {
+			continue
+		}
+		names[c.at().Service] = true
+		for _, p := range c.left() {
+			names[p.Service] = true
+		}
+	}
+	return names
+}
+
 // behind returns the place of the first change after a version.
 func (s *Store) behind(version int64) int {
 	return sort.Search(len(s.changes), func(n int) bool { return s.changes[n].version > version })
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -49,6 +49,7 @@
 	random     *rand.Rand
 	subscribed *subscriptions
 	watches    map[*scopedWatch]struct{} // of scopes, that wait
+	passedOver int64                     // the version at which they were last looked at
 
 	keeper  *keeper        // makes changes last; nil: nothing does
 	agreed  *agreed        // of a list that a group agrees on; else nil
--- a/internal/registry/watches.go
+++ b/internal/registry/watches.go
@@ -110,10 +110,21 @@
 
 // passOver moves on the watches of scopes that nothing new concerns, and wakes the others.
 // The caller has the lock.
+//
+// Most watches have no service that has changed since they were last looked at. They are not
+// compared with each change.
 func (s *Server) passOver() {
+	before := s.passedOver
+	s.passedOver = s.store.version
+	if len(s.watches) == 0 {
+		return
+	}
+	changed := s.store.servicesChanged(before)
 	for watch := range s.watches {
-		if s.store.fence == nil && s.store.Quiet(watch.question) {
-			watch.question.Since = s.store.version
+		q := &watch.question
+		apart := q.Since >= before && s.store.continues(*q) && !q.Scopes.meets(changed)
+		if s.store.fence == nil && (apart || s.store.Quiet(*q)) {
+			q.Since = s.store.version
 			continue
 		}
 		select {
