--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 
+	"dunlintray/internal/registry"
 	"dunlintray/internal/wire"
 )
 
@@ -34,6 +35,7 @@
 	BodyMB     int // megabytes that a client may send in one body; 0: any number
 	Known      Listing
 	Members    membersConfig
+	Scopes     scopesConfig
 
 	// Of the environment, where the platform lets two processes of a gateway serve
 	// side by side:
@@ -41,7 +43,8 @@
 	HandoverDir string // where the processes meet
 	wire.Deployment
 
-	document any // the file as it was read
+	document any                 // the file as it was read
+	observe  func(registry.Told) // of a Hollow: is told first what list services tell; else nil
 }
 
 // Reload is what a configuration that was read again came to.
@@ -81,6 +84,8 @@
 			BodyMB   int     `json:"body_mb"`
 		}
 		Registries []string
+		Scopes     []string
+		Subset     *subsetKeys
 		Known      Listing
 		Settings   json.RawMessage
 		Membership bool
@@ -102,6 +107,9 @@
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
+	if c.Scopes, err = readScopes(raw.Scopes, raw.Subset, c.Fleet); err != nil {
+		return Config{}, err
+	}
 	if err := json.Unmarshal(text, &c.document); err != nil {
 		return Config{}, err
 	}
@@ -134,7 +142,7 @@
 	if (len(c.Registries) > 0) != (len(next.Registries) > 0) {
 		return errors.New("registries: whether list services are asked needs a new start")
 	}
-	return nil
+	return c.Scopes.lacks(&next.Scopes)
 }
 
 // missingKey names the first key that is in have and not in next. Of the
@@ -232,5 +240,5 @@
 	case c.Settings.Counter && c.CounterTimeout <= 0:
 		return errors.New("settings: the counter's time-out must be above 0")
 	}
-	return nil
+	return c.Scopes.check(len(c.Registries))
 }
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,230 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// hostVariable makes the test binary a process of hollow ones.
+const hostVariable = "SCALE_TEST_HOST"
+
+// registryProgram is the list service, built once for all tests.
+var registryProgram string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(hostVariable) != "" {
+		if err := RunHost(context.Background(), os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Setenv(hostVariable, "1") // of the processes that tests start
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "scale-test-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		registryProgram = filepath.Join(dir, "registry")
+		if text, err := exec.Command("go", "build", "-o", registryProgram, "dunlintray/cmd/registry").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+func testOptions(t *testing.T) Options {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Registry: registryProgram, Host: []string{self}, Dir: t.TempDir()}
+}
+
+// TestRunWithScopes lets gateways read parts of the list: each holds just the backends of
+// its services in its zone, and is told of no other change.
+func TestRunWithScopes(t *testing.T) {
+	s := smallScenario()
+	s.Reading = Reading{Services: 2, Within: WithinZone}
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	plan := NewPlan(s, firstNet)
+	for _, g := range plan.Gateways {
+		reads := 0
+		for _, b := range plan.Backends {
+			if g.Reads(b) {
+				reads++
+			}
+		}
+		if reads < r.Final.Least || reads > r.Final.Most {
+			t.Errorf("gateway %d reads %d backends, and all hold %d to %d", g.Number, reads, r.Final.Least, r.Final.Most)
+		}
+	}
+	if r.Final.Most >= s.Fleet.Backends/2 || r.Final.Same != 5 || r.Final.Of != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	if whole := int64(r.Changes * s.Fleet.Gateways); r.Told.Readings == 0 || r.Told.Readings >= whole/2 {
+		t.Errorf("%d readings of %d changes by %d gateways that read a sixth", r.Told.Readings, r.Changes, s.Fleet.Gateways)
+	}
+}
+
+// TestRunWithSubset lets gateways use three of the ten backends of a service.
+func TestRunWithSubset(t *testing.T) {
+	s := smallScenario()
+	s.Length = Duration(time.Second / 2)
+	s.Fleet.Members, s.Fleet.Followers, s.Fleet.Services = 1, 0, 2
+	s.Changes.PerS = 0
+	s.Reading = Reading{Services: 1, Within: WithinAll, Subset: 3}
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f := r.Final; f.Checked || f.Least != 3 || f.Most != 3 || f.Of != 5 || f.Listed != 20 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// children are the processes that this one has started and that still run.
+func children(t *testing.T) (all []string) {
+	t.Helper()
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has ended meanwhile
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		if fields := strings.Fields(rest); len(fields) > 1 && fields[1] == strconv.Itoa(os.Getpid()) {
+			all = append(all, string(text))
+		}
+	}
+	return all
+}
+
+func smallScenario() *Scenario {
+	s := Default()
+	s.Length, s.Quiet = Duration(2*time.Second), Duration(20*time.Second)
+	s.Fleet.Gateways, s.Fleet.Backends, s.Fleet.Services, s.Fleet.Lease = 5, 20, 4, Duration(time.Second)
+	s.Changes.PerS, s.Changes.Drain, s.Changes.Down = 15, Duration(100*time.Millisecond), Duration(100*time.Millisecond)
+	s.Hosts.Gateways = 3
+	return &s
+}
+
+// TestRun makes a small run: each change that was answered comes to each gateway, all of
+// them hold the writer's list at the end, and no process is left.
+func TestRun(t *testing.T) {
+	s := smallScenario()
+	s.Fleet.Membership = true
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	if r.Changes < 6 || r.Changes%changesRestart != 0 {
+		t.Errorf("%d changes in 2 s, at 15 a second", r.Changes)
+	}
+	if want := int64(r.Changes * s.Fleet.Gateways); r.Told.Readings != want {
+		t.Errorf("%d changes were read %d times by %d gateways", r.Changes, r.Told.Readings, s.Fleet.Gateways)
+	}
+	if r.Versions != int64(r.Changes) {
+		t.Errorf("%d changes and %d versions: leases ran out", r.Changes, r.Versions)
+	}
+	if r.Final.Listed != 20 || r.Final.Of != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	if r.Members.Present < 4.9 {
+		t.Errorf("gateways hold %g of 5 present", r.Members.Present)
+	}
+	for name, processes := range map[string]int{roleWriter: 1, roleMember: 2, roleFollower: 1, roleGateways: 2, roleBackends: 1} {
+		if role, ok := r.Role(name); !ok || role.Processes != processes || role.InPerS <= 0 || role.OutPerS <= 0 || role.MemoryMB <= 0 {
+			t.Errorf("%s: %+v", name, role)
+		}
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
+
+// TestRunWithFaults strikes a rack, a region's link and a list service.
+func TestRunWithFaults(t *testing.T) {
+	s := smallScenario()
+	s.Length = Duration(6 * time.Second)
+	const second = Duration(time.Second)
+	s.Faults = []*Fault{
+		{Kind: FaultRack, At: second / 10, For: 2 * second, Gateways: 2, Backends: 5},
+		{Kind: FaultRegionCut, At: 2 * second, For: second, Region: "r0"},
+		{Kind: FaultKill, At: 3 * second, For: second, Who: whoWriter},
+		{Kind: FaultRestarts, At: 4 * second, For: second, ChangesPS: 30},
+	}
+	r, err := Run(t.Context(), s, testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := r.Failed(); why != "" {
+		t.Error(why)
+	}
+	if r.Final.Listed != 20 || r.Final.Of != 5 || r.Final.Same != 5 {
+		t.Errorf("%+v", r.Final)
+	}
+	var marks []string
+	for _, mark := range r.Marks {
+		_, what, _ := strings.Cut(mark, " s: ")
+		if !strings.Contains(mark, "wrote at the beginning") { // whether another member was chosen is the group's matter
+			marks = append(marks, what)
+		}
+	}
+	want := []string{"rack begins", "region_cut begins", "rack ends", "region_cut ends", "kill begins", "member0 was killed", "kill ends", "member0 was started again", "restarts begins", "restarts ends"}
+	for n := range want {
+		if n < len(marks) && strings.HasPrefix(want[n], "member") {
+			want[n] = marks[n][:len("member0")] + want[n][len("member0"):] // whichever wrote
+		}
+	}
+	if !slices.Equal(marks, want) {
+		t.Errorf("%q, want %q", marks, want)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
+
+// TestRunEndsWhole ends runs early and from outside: nothing is left of them.
+func TestRunEndsWhole(t *testing.T) {
+	o := testOptions(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := Run(ctx, smallScenario(), o); err == nil {
+		t.Error("a run that was ended has a result")
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+	o.Registry = "/bin/false"
+	if _, err := Run(t.Context(), smallScenario(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+		t.Errorf("%v", err)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("left: %s", left)
+	}
+}
