Readers end a watch for other scopes ten times a second at most

Each change of scopes ends the watch that waits, and with it a connection; scopes that changed all the time opened one for each answer.

--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -28,6 +28,7 @@
 	followerWatchWait = time.Second
 
 	watchGrace  = 500 * time.Millisecond // how much longer than that the answer may take
+	scopeGap    = 100 * time.Millisecond // between two watches that are ended for other scopes, each with its connection
 	listTimeout = 3 * time.Second
 	mostAnswer  = 64 << 20         // bytes
 	mostReply   = 4 << 10          // bytes of an answer that is no list
@@ -112,7 +113,7 @@
 // Run follows the list until ctx ends, from other addresses when moves has some.
 func (c *Client) Run(ctx context.Context, moves <-chan []string) {
 	defer c.http.CloseIdleConnections()
-	var complained time.Time
+	var complained, rescopedAt time.Time
 	for ctx.Err() == nil {
 		c.takeScopes()
 		ask := c.feed.Next()
@@ -133,6 +134,8 @@
 		case <-rescope:
 			cancel()
 			<-ended
+			c.pause(ctx, scopeGap-time.Since(rescopedAt), moves)
+			rescopedAt = time.Now()
 			continue
 		}
 		cancel()
@@ -156,7 +159,7 @@
 	}
 }
 
-// pause waits for the next try, or until there are other addresses.
+// pause waits for the next call, or until there are other addresses.
 func (c *Client) pause(ctx context.Context, pause time.Duration, moves <-chan []string) {
 	wait := time.NewTimer(pause)
 	defer wait.Stop()
