--- a/internal/registry/instance.go
+++ b/internal/registry/instance.go
@@ -110,7 +110,7 @@
 	case i.Drained && i.Lifecycle != Gone:
 		return fmt.Errorf("drained: %s is %s, not Gone", i.ID, i.Lifecycle)
 	case i.Service != "" && !isServiceName(i.Service):
-		return fmt.Errorf("service: %.80q is not 1 to %d letters, digits and -_.", i.Service, mostName)
+		return fmt.Errorf("service: %.80q is not 1 to %d characters of a-z, A-Z, 0-9, dot, dash and underscore", i.Service, mostName)
 	case i.Region != "" && !isName(i.Region):
 		return fmt.Errorf("region: %.80q is not a name of 1 to %d letters", i.Region, mostName)
 	}
--- a/internal/registry/scope.go
+++ b/internal/registry/scope.go
@@ -67,7 +67,7 @@
 func (s Scope) check() error {
 	switch {
 	case !isServiceName(s.Service):
-		return fmt.Errorf("scope: service %.80q is not 1 to %d letters, digits and -_.", s.Service, mostName)
+		return fmt.Errorf("scope: service %.80q is not 1 to %d characters of a-z, A-Z, 0-9, dot, dash and underscore", s.Service, mostName)
 	case s.Region != "" && s.Zone != "":
 		return fmt.Errorf("scope: %s has both a region and a zone", s.Service)
 	case s.Region != "" && !isName(s.Region):
@@ -119,7 +119,7 @@
 func (p Placement) check() error {
 	switch {
 	case !isServiceName(p.Service):
-		return fmt.Errorf("service: %.80q is not 1 to %d letters, digits and -_.", p.Service, mostName)
+		return fmt.Errorf("service: %.80q is not 1 to %d characters of a-z, A-Z, 0-9, dot, dash and underscore", p.Service, mostName)
 	case p.Region != "" && !isName(p.Region):
 		return fmt.Errorf("region: %.80q is not a name of 1 to %d bytes", p.Region, mostName)
 	case !isName(p.Zone):
