Rename scenario.Party to scenario.Actor

NAMES: a party is an actor of a scenario. The help text of the fault `link` now says "links from one actor to another"; nothing matches the old text. No other change of behaviour.

--- a/internal/scenario/draw.go
+++ b/internal/scenario/draw.go
@@ -75,9 +75,9 @@
 	if f.From == "gateways" {
 		f.From += " of " + s.Fleet.Zones[random.IntN(len(s.Fleet.Zones))]
 	}
-	from, _ := s.ParseParty(f.From)
-	to, _ := s.ParseParty(f.To)
-	can := onLinks[[2]PartyKind{from.Kind, to.Kind}]
+	from, _ := s.ParseActor(f.From)
+	to, _ := s.ParseActor(f.To)
+	can := onLinks[[2]ActorKind{from.Kind, to.Kind}]
 	f.How = string(can[random.IntN(len(can))])
 	if to.Kind == Gateways || to.Kind == Lists {
 		f.Way = []string{"both", "there", "back"}[random.IntN(3)]
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -281,7 +281,7 @@
 		want(!kind.Flap || f.Flap >= Duration(100e6), key("flap"), "%v is under 100ms", f.Flap)
 		want(f.Kind != "apart" || len(s.Fleet.Zones) > 1, key("kind"), "there is one zone")
 		if f.Who != "" {
-			who, err := s.ParseParty(f.Who)
+			who, err := s.ParseActor(f.Who)
 			want(kind.Who, key("who"), "it takes none")
 			want(err == nil, key("who"), "%v", err)
 			want(err != nil || who.Kind == Gateways || who.Kind == Lists, key("who"), "%q are neither gateways nor list services", f.Who)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -149,10 +149,10 @@
 	Zone string   `toml:"zone,omitempty"` // befalls this zone alone
 	Size float64  `toml:"size,omitempty"` // see Kinds
 
-	Who string `toml:"who,omitempty"` // a process or several, see ParseParty, in place of part and zone
+	Who string `toml:"who,omitempty"` // a process or several, see ParseActor, in place of part and zone
 
 	// Of a link:
-	From   string   `toml:"from,omitempty"` // whoever connects, see ParseParty
+	From   string   `toml:"from,omitempty"` // the actor that connects, see ParseActor
 	To     string   `toml:"to,omitempty"`
 	Way    string   `toml:"way,omitempty"` // there, back or both; both, if empty
 	How    string   `toml:"how,omitempty"` // see link.Kinds
@@ -193,7 +193,7 @@
 	"counter_silent": {What: "the counter falls silent and comes back empty"},
 	"counter_empty":  {What: "the counter has lost everything at once; for is not used"},
 	"counter_slow":   {Size: "times its usual time for a call", What: "the counter serves calls slowly, and turns more away"},
-	"link":           {Link: true, Size: "bytes that a cut lets pass, or that pass in a second where it is slow", What: "links from one party to another, or one way of them, do what how says"},
+	"link":           {Link: true, Size: "bytes that a cut lets pass, or that pass in a second where it is slow", What: "links from one actor to another, or one way of them, do what how says"},
 	"list_late":      {What: "no list is told"},
 	"list_stale":     {What: "who asks for a whole list gets the one from before"},
 	"writer_killed":  {What: "the list service that writes is killed, and started again after for"},
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -515,7 +515,7 @@
 	}
 	to := End{scenario.Backends, peer}
 	if peer == Counter {
-		to = End{scenario.CounterParty, 0}
+		to = End{scenario.CounterActor, 0}
 	}
 	switch how := w.how(Wire{End{scenario.Gateways, g}, to}, link.There); {
 	case how.Kind == link.Dropped, peer == Counter && w.counter.silent > 0:
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -115,7 +115,7 @@
 
 // onWhom strikes the processes that a fault names.
 func (w *World) onWhom(f *scenario.Fault) {
-	who, _ := w.s.ParseParty(f.Who) // Check has read it
+	who, _ := w.s.ParseActor(f.Who) // Check has read it
 	w.do(Mark{fmt.Sprintf("%s of %s for %v", f.Kind, f.Who, f.For)})
 	if who.Kind == scenario.Gateways {
 		var struck []int
--- a/internal/world/links.go
+++ b/internal/world/links.go
@@ -12,7 +12,7 @@
 
 // End is one process at the end of a link.
 type End struct {
-	Kind scenario.PartyKind
+	Kind scenario.ActorKind
 	N    int // backends: 0 stands for all
 }
 
@@ -38,8 +38,8 @@
 	off bool // one that flaps, for the moment
 }
 
-// has says whether a process is of a party.
-func (w *World) has(p scenario.Party, e End) bool {
+// has reports whether a process belongs to an actor.
+func (w *World) has(p scenario.Actor, e End) bool {
 	if p.Kind != e.Kind || p.N >= 0 && p.N != e.N {
 		return false
 	}
