Rename Stands to Connectivity in play, world and referee

NAMES: how a gateway stands in its fleet is its connectivity. world.Stands, Referee.Stands and the poll of package play follow, stands.go becomes connectivity.go. Texts of marks and violations and the rule's name stay.

--- a/internal/play/stands.go
+++ b/internal/play/connectivity.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	askGap  = 500 * time.Millisecond // between two questions to a gateway
-	askWait = 300 * time.Millisecond // a frozen one does not answer
-	mostSay = 1 << 20
+	pollInterval = 500 * time.Millisecond // between two polls of a gateway
+	pollTimeout  = 300 * time.Millisecond // a frozen gateway does not answer
+	mostReport   = 1 << 20
 )
 
-// askStands asks one gateway, as an operator would, how it stands and whom it holds
-// present, and tells the world, until ctx ends.
-func (e *engine) askStands(ctx context.Context, g int) {
-	t := time.NewTicker(askGap)
+// pollConnectivity polls a gateway, as an operator would, for its connectivity and the members
+// that it holds present, and reports the answers to the emulator, until ctx ends.
+func (e *engine) pollConnectivity(ctx context.Context, g int) {
+	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -30,18 +30,19 @@
 			return
 		case <-t.C:
 		}
-		if v, ok := e.stands(ctx, g); ok && v.On && !v.Superseded {
+		if v, ok := e.connectivity(ctx, g); ok && v.On && !v.Superseded {
 			present := make([]bool, len(v.Members))
 			for i, m := range v.Members {
 				present[i] = m.State == membership.Alive.String() || m.State == membership.Suspect.String()
 			}
-			e.post(world.Stands{Gateway: g, State: v.State, Why: v.Why, Present: present})
+			e.post(world.Connectivity{Gateway: g, State: v.State, Why: v.Why, Present: present})
 		}
 	}
 }
 
-func (e *engine) stands(ctx context.Context, g int) (v gateway.MembersView, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, askWait)
+// connectivity asks a gateway once.
+func (e *engine) connectivity(ctx context.Context, g int) (v gateway.MembersView, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	at := e.place.control(g)
 	if r := e.wires[world.Wire{From: world.End{Kind: scenario.Operators}, To: world.End{Kind: scenario.Gateways, N: g}}]; r != nil {
@@ -56,6 +57,6 @@
 		return v, false
 	}
 	defer resp.Body.Close()
-	err = json.NewDecoder(io.LimitReader(resp.Body, mostSay)).Decode(&v)
+	err = json.NewDecoder(io.LimitReader(resp.Body, mostReport)).Decode(&v)
 	return v, err == nil && resp.StatusCode == http.StatusOK && v.State != ""
 }
--- a/internal/play/start.go
+++ b/internal/play/start.go
@@ -76,7 +76,7 @@
 	for g := range e.gateways {
 		e.step(stamped{e.now(), world.Ready{Gateway: g}})
 		if e.s.Fleet.Membership {
-			e.wg.Go(func() { e.askStands(e.ctx, g) })
+			e.wg.Go(func() { e.pollConnectivity(e.ctx, g) })
 		}
 	}
 	return nil
--- a/internal/referee/fleet.go
+++ b/internal/referee/fleet.go
@@ -104,11 +104,11 @@
 	swingsTried = 4
 )
 
-// Stands judges what a gateway says of its fleet: once the ground has stood long
+// Connectivity judges what a gateway says of its fleet: once the ground has stood long
 // enough, it has to hold present those of its part, and no others; it has to say
 // that it is whole where nothing is amiss, and not where it reaches less than half of
 // those that it has met.
-func (r *Referee) Stands(now time.Duration, g int, state string, present []bool) {
+func (r *Referee) Connectivity(now time.Duration, g int, state string, present []bool) {
 	me, s := &r.gateways[g], &r.gateways[g].stand
 	if state != s.state {
 		if s.changed >= 0 && s.state != "" && now-s.changed < leastStay {
--- a/internal/world/fleet.go
+++ b/internal/world/fleet.go
@@ -96,11 +96,11 @@
 	w.after(d, func() { change(-1) })
 }
 
-// stands takes in how a gateway says that it stands.
-func (w *World) stands(e Stands) {
+// connectivity handles the connectivity that a gateway reports.
+func (w *World) connectivity(e Connectivity) {
 	if before := w.said[e.Gateway]; before != e.State && (before != "" || e.State != "whole") {
 		w.do(Mark{fmt.Sprintf("n%d stands %s: %s", e.Gateway, e.State, e.Why)})
 	}
 	w.said[e.Gateway] = e.State
-	w.Judge.Stands(w.now, e.Gateway, e.State, e.Present)
+	w.Judge.Connectivity(w.now, e.Gateway, e.State, e.Present)
 }
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -97,8 +97,8 @@
 		From, To int
 		Bytes    int
 	}
-	// Stands: a gateway was asked how it stands in its fleet, and whom it holds present.
-	Stands struct {
+	// Connectivity: a gateway reported its connectivity and the members that it holds present.
+	Connectivity struct {
 		Gateway    int
 		State, Why string
 		Present    []bool
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -34,7 +34,7 @@
 	cuts     map[int]int // zones that are cut off, by how many faults
 	heard    map[edge]Entry
 	hushed   int      // faults that hold all lists
-	said     []string // how each gateway said last that it stands
+	said     []string // connectivity that each gateway reported last
 	broken   []*broken
 
 	struckServices map[int]bool          // list services that a fault has
@@ -170,8 +170,8 @@
 		w.Judge.Enlisted(w.now, e.Backend, states[e.Lifecycle], e.Started, e.Version)
 	case Datagram:
 		w.datagram(e)
-	case Stands:
-		w.stands(e)
+	case Connectivity:
+		w.connectivity(e)
 	case Ready:
 		w.ready(e.Gateway)
 	case Exited:
