--- a/cmd/dunlintray/defects_test.go
+++ b/cmd/dunlintray/defects_test.go
@@ -126,6 +126,22 @@
 	return r
 }
 
+// Every planted defect still fits the sources: the text that it replaces occurs once.
+func TestDefectsFitTheSources(t *testing.T) {
+	for _, d := range readDefects(t) {
+		for _, e := range d.Edit {
+			text, err := os.ReadFile(filepath.Join("../..", e.File))
+			if err != nil {
+				t.Errorf("%s: %v", d.Name, err)
+				continue
+			}
+			if n := strings.Count(string(text), e.Old); n != 1 {
+				t.Errorf("%s: the text that it replaces occurs %d times in %s", d.Name, n, e.File)
+			}
+		}
+	}
+}
+
 // Each planted defect is named by its rule on a scenario that ships. Of all of them
 // a few are played here; DEFECTS=all plays all, or those whose names have its text,
 // at DEFECT_SEEDS seeds, and tells what each did to the worth.
