Rename the greetings of internal/group to the join handshake

NAMES: greet and greetings are a join handshake. greet.go becomes handshake.go, greeting joinRequest, greeted joinReply; the doc comments of the file are rewritten. The path /group/greetings, the JSON and all texts of errors and log lines stay.

--- a/internal/group/change.go
+++ b/internal/group/change.go
@@ -247,7 +247,7 @@
 	var err error
 	if r.Method == http.MethodPut {
 		var a adding
-		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostGreeting))
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 		d.DisallowUnknownFields()
 		if err := d.Decode(&a); err != nil || a.Number == 0 || a.Address == "" {
 			http.Error(w, fmt.Sprintf("a member has a number from 1 and an address: %v", err), http.StatusBadRequest)
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -63,7 +63,7 @@
 type life struct {
 	Member  uint64 `json:"member"`
 	Life    uint64 `json:"life"`
-	Process string `json:"process"` // a name of its own: one process says its greeting more than once
+	Process string `json:"process"` // a random name: one process sends its join request more than once
 }
 
 // identity is what a member is, for good.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -62,7 +62,7 @@
 	random uint64        // start of the keys of this process's proposals
 	began  time.Time
 
-	greeter *http.Client
+	joinClient *http.Client
 
 	// Owned by the loop:
 	core      *core
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Group{c: c, log: log, book: newBook(c.founders()), greeter: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, calls: make(chan func(), mostCalls), ended: make(chan struct{}), began: time.Now(), state: ledger.New(c.Limits),
+	g := &Group{c: c, log: log, book: newBook(c.founders()), joinClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, calls: make(chan func(), mostCalls), ended: make(chan struct{}), began: time.Now(), state: ledger.New(c.Limits),
 		spoke: map[uint64]time.Time{}, waiting: map[uint64]*waiter{}, reads: map[uint64]*read{}, ending: map[uint64]bool{}, peers: map[uint64]*peer{}, news: make(chan struct{}), lost: make(chan struct{}),
 		commits: hdrhistogram.New(1, slowestCommit, 3)}
 	process := name()
--- a/internal/group/greet.go
+++ b/internal/group/handshake.go
@@ -15,53 +15,54 @@
 	"time"
 )
 
-// Before a member votes or promises anything, it says to the others who it is and how
-// much it has. What they know of its earlier lives tells a folder that was lost, or an
-// older copy of it that was put back: such a member has forgotten what it has promised.
+// The join handshake: before a member votes or acknowledges an entry, it tells the others who
+// it is and how long its log is. They know its earlier processes, and so recognise a folder
+// that was lost or replaced by an older copy. Such a member has forgotten its votes and
+// acknowledgements, and must not take part.
 
 const (
-	greetingsPath    = "/group/greetings"
+	joinPath         = "/group/greetings"
 	generationHeader = "X-Group-Generation"
 
-	greetWait    = time.Second            // for one answer
-	greetGap     = 100 * time.Millisecond // between two tries
-	greetWriter  = 2 * time.Second        // how long the writer's own word is waited for
-	tellGap      = 2 * time.Second        // between two tries to tell a former member
-	mostGreeting = 16 << 10
+	joinTimeout         = time.Second            // for one reply
+	joinRetryInterval   = 100 * time.Millisecond // between two requests to one member
+	joinWriterWait      = 2 * time.Second        // how long the leader's own reply is waited for
+	formerRetryInterval = 2 * time.Second        // between two requests to a former member
+	maxRequestBytes     = 16 << 10               // of a request's or a reply's body
 )
 
-// greeting is what a member says at its start.
-type greeting struct {
+// joinRequest is what a member sends to the others at its start.
+type joinRequest struct {
 	Group      string     `json:"group"`
 	Generation Generation `json:"generation"`
 	Self       uint64     `json:"self"`
 	Life       uint64     `json:"life"`
 	Process    string     `json:"process"`
-	Last       uint64     `json:"last"` // entry that it has; 0: it has nothing yet
+	Last       uint64     `json:"last"` // index of its last entry; 0: its log is empty
 }
 
-// verdict is what another makes of it.
+// verdict is the result of a join request.
 type verdict string
 
 const (
 	welcome verdict = "welcome"
-	unknown verdict = "unknown" // not a member yet, as far as the other knows
-	refused verdict = "refused" // for good
-	crossed verdict = "crossed" // it is of another group, or not meant for this one
+	unknown verdict = "unknown" // not a member yet, as far as the other knows: try again
+	refused verdict = "refused" // final: the member must end
+	crossed verdict = "crossed" // it belongs to another group
 )
 
-// greeted answers a greeting.
-type greeted struct {
+// joinReply is the reply to a joinRequest.
+type joinReply struct {
 	Verdict    verdict           `json:"verdict"`
 	Why        string            `json:"why,omitempty"`
 	Writer     uint64            `json:"writer,omitempty"`
 	Generation Generation        `json:"generation"`
-	Members    map[uint64]Member `json:"members,omitempty"` // to one that has nothing yet
+	Members    map[uint64]Member `json:"members,omitempty"` // for a member whose log is empty
 }
 
-// judge is what this member makes of a greeting. The loop calls it.
-func (g *Group) judge(from greeting) greeted {
-	out := greeted{Verdict: unknown, Writer: g.writer, Generation: g.book.Generation}
+// answerJoin decides on a join request. It runs in the loop.
+func (g *Group) answerJoin(from joinRequest) joinReply {
+	out := joinReply{Verdict: unknown, Writer: g.writer, Generation: g.book.Generation}
 	own, known := g.book.Generation, g.core.lives[from.Self]
 	switch {
 	case from.Group != g.c.Name:
@@ -95,16 +96,19 @@
 	return out
 }
 
+// replaceIt is the advice for a member whose folder is lost or old.
 const replaceIt = "Remove the member, and add another under a new number"
 
+// superseded explains that the member belongs to an earlier generation.
 func superseded(by Generation) string {
 	return fmt.Sprintf("the group went on as generation %s without this member; begin in an empty folder, under a new number", by)
 }
 
-// greet says this member's greeting to all others until each has heard it, or ctx ends,
-// and has the loop take part in the group once enough have welcomed it: with itself a
-// majority, and the writer that they name, if that answers.
-func (g *Group) greet(ctx context.Context, from greeting, ask map[uint64]string, need int) {
+// handshake sends this member's join request to the others until each has welcomed it, or
+// until ctx ends. The member takes part in the group once a majority, itself included, has
+// welcomed it, and also the leader that they name, unless that does not reply within
+// joinWriterWait.
+func (g *Group) handshake(ctx context.Context, from joinRequest, ask map[uint64]string, need int) {
 	var mu sync.Mutex
 	welcomed, writers := map[uint64]bool{}, map[uint64]bool{}
 	var enough time.Time
@@ -119,7 +123,7 @@
 			enough = time.Now()
 		}
 		for w := range writers {
-			if w != g.c.Self && ask[w] != "" && !welcomed[w] && time.Since(enough) < greetWriter {
+			if w != g.c.Self && ask[w] != "" && !welcomed[w] && time.Since(enough) < joinWriterWait {
 				return
 			}
 		}
@@ -132,7 +136,7 @@
 		wg.Go(func() {
 			said := ""
 			for ctx.Err() == nil {
-				answer, err := g.say(ctx, at, from)
+				answer, err := g.sendJoin(ctx, at, from)
 				switch {
 				case err != nil:
 				case answer.Verdict == welcome:
@@ -155,15 +159,15 @@
 				look()
 				select {
 				case <-ctx.Done():
-				case <-time.After(greetGap):
+				case <-time.After(joinRetryInterval):
 				}
 			}
 		})
 	}
 }
 
-// adopt takes from another who the members are, as long as this one has nothing.
-func (g *Group) adopt(from greeted) {
+// adopt takes over the list of members from a reply, if this member's log is empty.
+func (g *Group) adopt(from joinReply) {
 	if g.core.last() > 0 {
 		return
 	}
@@ -171,80 +175,81 @@
 	g.follow()
 }
 
-// tell has the loop do something, however full it is, unless ctx ends.
+// tell queues a function for the loop. It blocks while the queue is full, until ctx ends.
 func (g *Group) tell(ctx context.Context, do func()) {
-	select { // a snapshot's end must not be lost: the algorithm sends nothing more before it
+	select { // the report of a snapshot must not be lost: raft sends nothing more before it
 	case g.calls <- do:
 	case <-ctx.Done():
 	}
 }
 
-// say makes one call.
-func (g *Group) say(ctx context.Context, at string, from greeting) (answer greeted, err error) {
-	ctx, cancel := context.WithTimeout(ctx, greetWait)
+// sendJoin sends a join request to one member.
+func (g *Group) sendJoin(ctx context.Context, at string, from joinRequest) (answer joinReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	text, err := json.Marshal(from)
 	if err != nil {
 		return answer, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+greetingsPath, bytes.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+joinPath, bytes.NewReader(text))
 	if err != nil {
 		return answer, err
 	}
-	resp, err := g.greeter.Do(req)
+	resp, err := g.joinClient.Do(req)
 	if err != nil {
 		return answer, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostGreeting))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRequestBytes))
 	switch {
 	case err != nil:
 		return answer, err
-	case resp.StatusCode == http.StatusNotFound: // of the build before, which knows nothing against it
-		return greeted{Verdict: welcome}, nil
+	case resp.StatusCode == http.StatusNotFound: // a member of an earlier build, without this call
+		return joinReply{Verdict: welcome}, nil
 	case resp.StatusCode != http.StatusOK:
 		return answer, errors.New(resp.Status)
 	}
 	return answer, json.Unmarshal(body, &answer)
 }
 
-// tellFormer says to the members that this generation has left behind that it has.
-func (g *Group) tellFormer(ctx context.Context, from greeting, at string) {
+// tellFormer tells a former member of the new generation, until that has replied or ctx ends.
+func (g *Group) tellFormer(ctx context.Context, from joinRequest, at string) {
 	for ctx.Err() == nil {
-		if _, err := g.say(ctx, at, from); err == nil {
+		if _, err := g.sendJoin(ctx, at, from); err == nil {
 			slog.Info("group: a former member was told of the new generation", "address", at)
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(tellGap):
+		case <-time.After(formerRetryInterval):
 		}
 	}
 }
 
-// greetings answers others' greetings.
-func (g *Group) greetings(w http.ResponseWriter, r *http.Request) {
-	var from greeting
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostGreeting))
+// handleJoin is the HTTP handler of join requests.
+func (g *Group) handleJoin(w http.ResponseWriter, r *http.Request) {
+	var from joinRequest
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&from); err != nil {
 		http.Error(w, "greeting: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	var out greeted
-	if err := g.call(r.Context(), func() { out = g.judge(from) }); err != nil {
+	var out joinReply
+	if err := g.call(r.Context(), func() { out = g.answerJoin(from) }); err != nil {
 		g.fail(w, r, err)
 		return
 	}
 	answer(w, out)
 }
 
-// quorum is how many voters have to agree.
+// quorum returns the number of voters that form a majority.
 func quorum(voters []uint64) int { return len(voters)/2 + 1 }
 
-// begin is how a member starts: whom it greets, and how many have to welcome it.
-func (g *Group) begin() (from greeting, ask map[uint64]string, need int) {
-	from = greeting{Group: g.c.Name, Generation: g.book.Generation, Self: g.c.Self, Life: g.core.lives[g.c.Self].Life, Process: g.core.lives[g.c.Self].Process, Last: g.core.last()}
+// newJoin returns the join request of this member, the addresses to send it to, and the number
+// of members that have to welcome it.
+func (g *Group) newJoin() (from joinRequest, ask map[uint64]string, need int) {
+	from = joinRequest{Group: g.c.Name, Generation: g.book.Generation, Self: g.c.Self, Life: g.core.lives[g.c.Self].Life, Process: g.core.lives[g.c.Self].Process, Last: g.core.last()}
 	ask = map[uint64]string{}
 	for _, n := range g.book.others(g.c.Self) {
 		ask[n] = g.book.Members[n].Address
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -39,8 +39,8 @@
 	for _, n := range g.book.others(g.c.Self) {
 		g.meet(n, g.book.Members[n].Address)
 	}
-	from, ask, need := g.begin()
-	wg.Go(func() { g.greet(inner, from, ask, need) })
+	from, ask, need := g.newJoin()
+	wg.Go(func() { g.handshake(inner, from, ask, need) })
 	for _, former := range g.book.Former {
 		wg.Go(func() { g.tellFormer(inner, from, former.Address) })
 	}
--- a/internal/group/server.go
+++ b/internal/group/server.go
@@ -47,7 +47,7 @@
 func (g *Group) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+messagesPath, g.messages)
-	mux.HandleFunc("POST "+greetingsPath, g.greetings)
+	mux.HandleFunc("POST "+joinPath, g.handleJoin)
 	mux.HandleFunc("PUT "+MembersPath, g.changeMembers)
 	mux.HandleFunc("DELETE "+MembersPath+"/{number}", g.changeMembers)
 	mux.HandleFunc("POST "+TransferPath+"/{number}", g.changeMembers)
