Rename house to housekeeping in the decision module

NAMES: house and houseGap are housekeeping and housekeepingInterval; timerHouse and lastHouse follow. No change of behaviour.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -79,32 +79,32 @@
 	newApart   = 0.2 // and up to so much more the farther ahead the backend is
 	connMargin = 1.0 // seconds before the backend closes it in which an idle connection is not counted on
 
-	askRest  = 1.0  // seconds until discovery is asked again after it failed, half to twice that
-	askMost  = 1.8  // where it fails again: longer would hold back what is told once it can be reached
-	houseGap = 0.05 // seconds between rounds of housekeeping
-	tellGap  = 1.0  // seconds between lines about requests that were given back
-	idleDrop = 60.0 // seconds after which a customer is forgotten
+	askRest              = 1.0  // seconds until discovery is asked again after it failed, half to twice that
+	askMost              = 1.8  // if it fails again: a longer wait would delay the list once it is back
+	housekeepingInterval = 0.05 // seconds between rounds of housekeeping
+	tellGap              = 1.0  // seconds between lines about requests that were given back
+	idleDrop             = 60.0 // seconds after which a customer is forgotten
 )
 
 // Kinds of timer, in the top byte of a token.
 const (
-	timerHouse = iota
-	timerStart // a request that has not been sent is too late now
-	timerEnd   // a request must be answered now
-	timerAsk   // discovery failed a while ago
-	timerLate  // an attempt takes longer than usual
+	timerHousekeeping = iota
+	timerStart        // a request that has not been sent is too late now
+	timerEnd          // a request must be answered now
+	timerAsk          // discovery failed a while ago
+	timerLate         // an attempt takes longer than usual
 )
 
 // New starts a gateway. It keeps nothing from an earlier life.
 func New(set Settings, seed uint64, now float64, out []Action) (*Gateway, []Action) {
-	g := &Gateway{set: set, now: now, out: out, born: now, lastHouse: now, lastCut: now, retries: retryMost,
-		share: 1, endsAt: math.Inf(1)}
+	g := &Gateway{set: set, now: now, out: out, born: now, lastHousekeeping: now, lastCut: now,
+		retries: retryMost, share: 1, endsAt: math.Inf(1)}
 	g.rank()
 	g.makeRoom(seed)
 	if set.AskDiscovery {
 		g.do(Subscribe{})
 	}
-	g.timer(houseGap, timerHouse, 0, 0)
+	g.timer(housekeepingInterval, timerHousekeeping, 0, 0)
 	return g, g.out
 }
 
@@ -224,8 +224,8 @@
 func (g *Gateway) due(token uint64) {
 	j, n := g.jobs[RequestID(uint32(token))], int(uint8(token>>32))
 	switch kind := token >> 56; {
-	case kind == timerHouse:
-		g.house()
+	case kind == timerHousekeeping:
+		g.housekeeping()
 	case kind == timerAsk:
 		g.do(Subscribe{})
 	case j == nil:
@@ -807,11 +807,11 @@
 	}
 }
 
-// house keeps averages and leases in order.
-func (g *Gateway) house() {
-	g.timer(houseGap, timerHouse, 0, 0)
-	span := max(g.now-g.lastHouse, g.set.Tick, 1e-3)
-	g.lastHouse = g.now
+// housekeeping updates averages and leases. It runs every housekeepingInterval.
+func (g *Gateway) housekeeping() {
+	g.timer(housekeepingInterval, timerHousekeeping, 0, 0)
+	span := max(g.now-g.lastHousekeeping, g.set.Tick, 1e-3)
+	g.lastHousekeeping = g.now
 	warm := 0
 	g.forget()
 	for _, s := range g.list {
@@ -1007,7 +1007,7 @@
 	case !g.set.Counter || g.now < c.restTill:
 		return c.open < c.terms.share
 	case c.open >= c.terms.places: // others need not be asked
-	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*houseGap &&
+	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*housekeepingInterval &&
 		!g.crowded(c):
 		g.slotWindow(c)
 		want := float64(min(len(c.waiting), c.terms.places))
@@ -1044,7 +1044,7 @@
 	if c.slots > 0 {
 		g.slotWindow(c) // what is held is told before anyone asks in the new window
 	}
-	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+houseGap) {
+	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+housekeepingInterval) {
 		c.slots -= spare
 		g.count(call{customer: c, name: c.slotName, fill: -float64(spare), slot: true}, nameKeep)
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -201,7 +201,7 @@
 			d.handle(AttemptEnd{Request: out[0].Request, Backend: out[0].Backend, Took: 0.04, Done: true})
 			out = out[1:]
 		}
-		d.handle(Timer{Token: timerHouse << 56})
+		d.handle(Timer{Token: timerHousekeeping << 56})
 	}
 	// A warm backend had 100 a second for two seconds; the cold one may do 20 to 36 of these.
 	if toCold > 2*2*36 {
@@ -259,17 +259,17 @@
 			}
 		}
 	}
-	house := func(now float64) {
+	housekeeping := func(now float64) {
 		for _, d := range gates {
 			d.now = now
-			d.handle(Timer{Token: timerHouse << 56})
+			d.handle(Timer{Token: timerHousekeeping << 56})
 		}
 	}
 	now := 100.0
 	play := func(until float64) {
 		for n := 0; now < until; n++ {
 			if now += 1.0 / perSecond; n%20 == 0 {
-				house(now)
+				housekeeping(now)
 			}
 			step(now)
 		}
@@ -605,7 +605,7 @@
 	}
 	d.handle(CounterReply{Name: call.Name, Total: 2})
 	d.now += 0.05
-	out = d.handle(Timer{Token: timerHouse << 56})
+	out = d.handle(Timer{Token: timerHousekeeping << 56})
 	call = one[Count](t, out)
 	out = d.handle(CounterReply{Name: call.Name, Total: 2})
 	one[Send](t, out)
@@ -634,7 +634,7 @@
 			if now < 102 || rng.Float64() < 0.2+0.2*math.Sin(now) || math.Mod(now, 19) < 7 {
 				todo = d.handle(Request{ID: id, Units: 1, Gateways: gateways, Customer: 5, Deadline: now + 2})
 			} else if step%9 == 0 {
-				todo = d.handle(Timer{Token: timerHouse << 56})
+				todo = d.handle(Timer{Token: timerHousekeeping << 56})
 			}
 			if rng.IntN(8000) == 0 { // killed, with all it knew
 				ds[n] = start(t, set, some(30)...)
@@ -1158,7 +1158,7 @@
 		t.Fatalf("sent %d of 21", n)
 	}
 	busy.now, idle.now = 100.51, 100.51 // a lease lives a quarter of burst over rate, in which the store gains 10
-	run(idle, idle.handle(Timer{Token: timerHouse << 56}))
+	run(idle, idle.handle(Timer{Token: timerHousekeeping << 56}))
 	if n := ask(busy, 25); n != 25 {
 		t.Errorf("sent %d of 25 requests that the store has room for", n)
 	}
@@ -1166,7 +1166,7 @@
 	customer = 6
 	ask(idle, 1)
 	idle.now += 0.51
-	run(idle, idle.handle(Timer{Token: timerHouse << 56}))
+	run(idle, idle.handle(Timer{Token: timerHousekeeping << 56}))
 	ask(idle, 1)
 	c := idle.g.customers[6]
 	floor := idle.g.roll(c)
@@ -1277,8 +1277,8 @@
 	if len(find[Refuse](out)) > 0 {
 		t.Fatal("refused though most calls are answered")
 	}
-	d.now += counterRest + houseGap
-	out = d.handle(Timer{Token: timerHouse << 56})
+	d.now += counterRest + housekeepingInterval
+	out = d.handle(Timer{Token: timerHousekeeping << 56})
 	one[Send](t, d.handle(CounterReply{Name: one[Count](t, out).Name, Total: 1}))
 }
 
@@ -1329,7 +1329,7 @@
 		d.handle(Backends{Kind: Delta, Entries: []Backend{ready(id)}})
 		d.handle(Backends{Kind: Delta, Entries: []Backend{{ID: id, State: Gone}}})
 		d.now += 0.05
-		d.handle(Timer{Token: timerHouse << 56})
+		d.handle(Timer{Token: timerHousekeeping << 56})
 	}
 	if len(d.g.list) != 3 || len(d.g.servers) != 3 {
 		t.Errorf("%d listed and %d known, want 3", len(d.g.list), len(d.g.servers))
@@ -1360,7 +1360,7 @@
 			d.handle(AttemptEnd{Request: 12345, Backend: 1, Outcome: Moot})
 			d.handle(Backends{Kind: FullList})
 			d.handle(Backends{Kind: Delta, Entries: some(1)})
-			out = append(out, d.handle(Timer{Token: timerHouse << 56})...)
+			out = append(out, d.handle(Timer{Token: timerHousekeeping << 56})...)
 			for _, s := range find[Send](out) {
 				end := AttemptEnd{Request: s.Request, Backend: s.Backend, Took: 0.1, Done: true}
 				d.handle(end)
@@ -1407,7 +1407,7 @@
 		at    float64
 		token uint64
 	}
-	timers := []timer{{100.05, timerHouse << 56}}
+	timers := []timer{{100.05, timerHousekeeping << 56}}
 	var calls []Count
 	notReady := map[BackendID]bool{}
 	take := func(actions []Action) {
@@ -1618,7 +1618,7 @@
 		return n
 	}
 	for _, e := range []Event{ByHand{Backend: 1, Offline: true}, Backends{Kind: FullList, Entries: some(2)},
-		Backends{Kind: Delta, Entries: []Backend{{ID: 1, State: Gone}}}, Timer{Token: timerHouse << 56},
+		Backends{Kind: Delta, Entries: []Backend{{ID: 1, State: Gone}}}, Timer{Token: timerHousekeeping << 56},
 		Backends{Kind: Delta, Entries: []Backend{ready(1)}}} {
 		if d.handle(e); sends() != 0 {
 			t.Fatalf("sent to a banned backend after %+v", e)
@@ -1838,7 +1838,7 @@
 	}
 	ask := func() {
 		d.now += 0.25
-		follow(d.handle(Timer{Token: timerHouse << 56}))
+		follow(d.handle(Timer{Token: timerHousekeeping << 56}))
 		d.nextID++
 		follow(d.handle(Request{ID: d.nextID, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2}))
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -40,10 +40,10 @@
 	crowd, countedAt  float64 // share of counter calls that fail, and when the last of them ended
 	warmRate          float64 // own sends a second to a warm backend
 	warmSent          int
-	lastHouse         float64
+	lastHousekeeping  float64
 	askRest           float64 // pause after discovery failed
 	patience          []patience
-	arrivals, arrived []float64    // by level: a second, and since lastHouse
+	arrivals, arrived []float64    // by level: a second, and since lastHousekeeping
 	given             [reasons]int // requests given back since toldAt
 	toldAt            float64
 }
