Rename ghost to abandonedAttempt in the decision module

NAMES: a ghost is an abandoned attempt. The log line keeps its key `ghosts`. No change of behaviour.

Result: race tests of rules and staticcheck pass.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -483,7 +483,7 @@
 		// let pass.
 		a.on.missed++
 		stay := min(g.latency*float64(a.on.missed), j.class.Deadline)
-		a.on.ghosts = append(a.on.ghosts, ghost{a.sent, g.now + stay, j.level, a.astray})
+		a.on.abandoned = append(a.on.abandoned, abandonedAttempt{a.sent, g.now + stay, j.level, a.astray})
 	} else {
 		g.uncount(a, j.level)
 	}
@@ -515,10 +515,10 @@
 	}
 }
 
-// lay ends the ghosts of s that were sent before a served attempt, since backends take work in order, and
-// those that have outlived all patience.
+// lay stops counting the abandoned attempts of s that were sent before a served one, since backends work in
+// order, and those whose time is over.
 func (g *Gateway) lay(s *server, served float64) {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(h ghost) bool {
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(h abandonedAttempt) bool {
 		over := h.sent < served || h.until < g.now
 		if over {
 			g.leave(s, h.level, h.astray)
@@ -852,7 +852,7 @@
 		return
 	}
 	line := fmt.Sprintf("given back: bound=%.1f in_flight=%d ghosts=%d latency=%.3f pressure=%.2f crowd=%.2f",
-		g.bound, g.inFlight, g.ghosts(), g.latency, g.pressure, g.crowd)
+		g.bound, g.inFlight, g.abandoned(), g.latency, g.pressure, g.crowd)
 	for why, n := range g.given {
 		if n > 0 {
 			line += fmt.Sprintf(" %s=%d", reasonNames[why], n)
--- a/rules/state.go
+++ b/rules/state.go
@@ -66,10 +66,10 @@
 var reasonNames = [reasons]string{"too_late", "over_quota", "no_counter", "no_lease", "no_room", "held_out",
 	"no_retry", "no_answer"}
 
-// ghosts counts the attempts that were given up and still count as work in flight.
-func (g *Gateway) ghosts() (n int) {
+// abandoned returns the number of abandoned attempts that still count as work in flight.
+func (g *Gateway) abandoned() (n int) {
 	for _, s := range g.list {
-		n += len(s.ghosts)
+		n += len(s.abandoned)
 	}
 	return n
 }
@@ -103,8 +103,8 @@
 	ended    bool
 }
 
-// ghost is an attempt that was given up and may still take up its backend.
-type ghost struct {
+// abandonedAttempt is an attempt that the gateway has given up and its backend may still run.
+type abandonedAttempt struct {
 	sent, until float64
 	level       int
 	astray      bool
@@ -116,7 +116,7 @@
 	banned             bool  // by hand
 	levels             []int // own attempts in flight by level
 	inFlight           int
-	ghosts             []ghost
+	abandoned          []abandonedAttempt
 	missed             int     // attempts given up since the last answer
 	fail               float64 // share of recent failures
 	latency            float64 // 0: no answer yet
@@ -295,8 +295,8 @@
 		for l, n := range levels {
 			s.levels[level[l]] += n
 		}
-		for i := range s.ghosts {
-			s.ghosts[i].level = level[s.ghosts[i].level]
+		for i := range s.abandoned {
+			s.abandoned[i].level = level[s.abandoned[i].level]
 		}
 	}
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
