One function for the operators' changes of a group's members

`group add`, `remove` and `transfer` each had the same call, check and print. They share membersArg.changeMembers now. No test called the three commands: TestLedgerCommands has six more rows for their results and refusals, which pass before and after the change.

--- a/cmd/dunlintray/ledger.go
+++ b/cmd/dunlintray/ledger.go
@@ -118,6 +118,17 @@
 	Transfer groupTransferCmd `cmd:"" help:"Have another member write."`
 }
 
+// changeMembers has the group change its members, and then writes the line done.
+func (m *membersArg) changeMembers(ctx context.Context, out io.Writer, change func(context.Context, *group.Client) error, done string) error {
+	client, ctx, end := m.client(ctx)
+	defer end()
+	if err := change(ctx, client); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, done)
+	return nil
+}
+
 type groupAddCmd struct {
 	membersArg
 	Number  uint64 `arg:"" help:"A number that none has had."`
@@ -126,13 +137,9 @@
 }
 
 func (c *groupAddCmd) Run(ctx context.Context, out io.Writer) error {
-	client, ctx, end := c.client(ctx)
-	defer end()
-	if err := client.Add(ctx, c.Number, group.Member{Address: c.Address, List: c.List}); err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "member %d is added; it votes once it is filled (group show)\n", c.Number)
-	return nil
+	return c.changeMembers(ctx, out, func(ctx context.Context, client *group.Client) error {
+		return client.Add(ctx, c.Number, group.Member{Address: c.Address, List: c.List})
+	}, fmt.Sprintf("member %d is added; it votes once it is filled (group show)", c.Number))
 }
 
 type groupRemoveCmd struct {
@@ -141,13 +148,9 @@
 }
 
 func (c *groupRemoveCmd) Run(ctx context.Context, out io.Writer) error {
-	client, ctx, end := c.client(ctx)
-	defer end()
-	if err := client.Remove(ctx, c.Number); err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "member %d is taken out; its number is never given again\n", c.Number)
-	return nil
+	return c.changeMembers(ctx, out, func(ctx context.Context, client *group.Client) error {
+		return client.Remove(ctx, c.Number)
+	}, fmt.Sprintf("member %d is taken out; its number is never given again", c.Number))
 }
 
 type groupTransferCmd struct {
@@ -156,13 +159,9 @@
 }
 
 func (c *groupTransferCmd) Run(ctx context.Context, out io.Writer) error {
-	client, ctx, end := c.client(ctx)
-	defer end()
-	if err := client.Transfer(ctx, c.Number); err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "member %d writes\n", c.Number)
-	return nil
+	return c.changeMembers(ctx, out, func(ctx context.Context, client *group.Client) error {
+		return client.Transfer(ctx, c.Number)
+	}, fmt.Sprintf("member %d writes", c.Number))
 }
 
 type groupShowCmd struct {
--- a/cmd/dunlintray/ledger_test.go
+++ b/cmd/dunlintray/ledger_test.go
@@ -43,6 +43,12 @@
 		{"ledger delete --group AT a", 1, "not found"},
 		{"ledger get --group 127.0.0.1:1 --wait 200ms a", 1, "refused"},
 		{"group show AT", 0, "one    "},
+		{"group transfer --group AT 1", 0, "member 1 writes\n"},
+		{"group transfer --group AT 7", 1, "member 7 is no voter"},
+		{"group remove --group AT 1", 1, "member 1 is the writer; have another write first"},
+		{"group add --group AT 1 127.0.0.1:1", 1, "the number 1 was given before"},
+		{"group add --group AT 2 127.0.0.1:1", 0, "member 2 is added; it votes once it is filled (group show)\n"},
+		{"group remove --group AT 2", 0, "member 2 is taken out; its number is never given again\n"},
 		{"group show 127.0.0.1:1", 1, "no answer"},
 	} {
 		status, text := command(t.Context(), strings.Fields(strings.ReplaceAll(c.args, "AT", at))...)
