A reader's longest answer goes by its memory again

Need: so that a follower can copy 200,000 instances (33 MB), the client took answers of up to 64 MiB, also in a gateway of 48 MB, where 4 MiB had been the bound.

Change: the bound belongs to the client. A gateway sets a sixteenth of its memory, not below the 4 MiB of before; followers and tools have 64 MiB. A longer answer is refused, and the last good list stays (TestAnswerLimit).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -31,6 +31,13 @@
 	complaintGap = 10 * time.Second        // between lines about a discovery that stays down
 )
 
+// listMemoryShare is the part of a gateway's memory, one in so many, that the text of an
+// answer of a list service may have: what is read from it takes a multiple of that.
+const listMemoryShare = 16
+
+// listMemory returns the bytes that an answer of a list service may have.
+func listMemory(memoryMB int) int64 { return max(int64(memoryMB)<<20/listMemoryShare, mostListing) }
+
 // Listing is discovery's list of backends, or the changes to it, and Instance one
 // of them.
 type (
@@ -100,6 +107,7 @@
 			}
 			tell(told.News, told.History)
 		})
+		f.services.SetAnswerLimit(listMemory(c.MemoryMB))
 		if len(f.scopes) > 0 {
 			f.change.inForce = f.scopes
 			f.services.SetScopes(f.scopes)
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -29,11 +29,14 @@
 
 	watchGrace  = 500 * time.Millisecond // how much longer than that the answer may take
 	listTimeout = 3 * time.Second
-	mostAnswer  = 64 << 20         // bytes
 	mostReply   = 4 << 10          // bytes of an answer that is no list
 	complainGap = 10 * time.Second // between lines about services that stay down
 )
 
+// DefaultAnswerLimit is how many bytes an answer may have, unless SetAnswerLimit says
+// otherwise. A list of 200,000 instances has 33 MB.
+const DefaultAnswerLimit = 64 << 20
+
 // errNoScopes says that a list service is of a build that does not know scopes: it has
 // answered with the whole list where a part of it was asked for.
 var errNoScopes = errors.New("the list service does not know scopes: upgrade it, or take the scopes out of this reader's configuration")
@@ -45,8 +48,9 @@
 	heard func(Told)
 	http  *http.Client
 
-	watchWait time.Duration
-	heardAt   atomic.Int64 // Unix nanoseconds at which the last answer was current; 0: none
+	watchWait   time.Duration
+	answerLimit int64        // bytes
+	heardAt     atomic.Int64 // Unix nanoseconds at which the last answer was current; 0: none
 
 	mu       sync.Mutex // of what follows
 	wanted   []Scope
@@ -66,11 +70,15 @@
 
 // NewClient calls heard, one at a time, with each answer that tells something new.
 func NewClient(addresses []string, random *rand.Rand, heard func(Told)) *Client {
-	return &Client{feed: NewFeed(addresses, random), heard: heard, rescope: make(chan struct{}, 1), watchWait: watchWait,
+	return &Client{feed: NewFeed(addresses, random), heard: heard, rescope: make(chan struct{}, 1), watchWait: watchWait, answerLimit: DefaultAnswerLimit,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
+// SetAnswerLimit bounds the bytes of an answer. A longer one is refused, and the last good
+// list stays. It is called before Run.
+func (c *Client) SetAnswerLimit(bytes int64) { c.answerLimit = bytes }
+
 // SetScopes changes the part of the list that is read; without scopes it is the whole
 // list. It may be called before Run and during it, from any goroutine. Of several calls in
 // a row the last counts.
@@ -239,12 +247,12 @@
 	if resp.StatusCode == http.StatusOK && resp.Header.Get(SubscriptionHeader) != a.Scopes.ID() {
 		return answer{err: errNoScopes}, true // its body is left, which may be all of a long list
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.answerLimit+1))
 	switch {
 	case err != nil:
 		return answer{err: err}, true
-	case len(body) > mostAnswer:
-		return answer{err: errors.New("the list is too long")}, true
+	case int64(len(body)) > c.answerLimit:
+		return answer{err: fmt.Errorf("the list has more than %d bytes", c.answerLimit)}, true
 	case resp.StatusCode != http.StatusOK:
 		return answer{advised: advisedPause(resp), err: fmt.Errorf("status %s: %.200s", resp.Status, body)},
 			a.Scopes == nil || resp.StatusCode != http.StatusNotFound
--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -719,3 +719,30 @@
 		t.Errorf("%d bytes for no change", nothing)
 	}
 }
+
+// A reader takes no answer that is longer than its limit, and keeps the list that it has.
+func TestAnswerLimit(t *testing.T) {
+	big := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HistoryHeader, "h")
+		list := Listing{Generation: 1, Reset: true, Instances: []Instance{inst("a", 1)}}
+		if big {
+			for n := range 100 {
+				list.Instances = append(list.Instances, inst(fmt.Sprint("b-", n), 1))
+			}
+		}
+		json.NewEncoder(w).Encode(list)
+	}))
+	defer server.Close()
+	c := NewClient([]string{server.Listener.Addr().String()}, rand.New(rand.NewPCG(1, 1)), func(Told) {})
+	const limit = 1000
+	c.SetAnswerLimit(limit)
+	ask := c.feed.Next()
+	if got := c.ask(t.Context(), ask); got.err != nil || len(got.listing.Instances) != 1 {
+		t.Fatalf("a short list: %+v", got)
+	}
+	big = true
+	if got := c.ask(t.Context(), ask); got.err == nil || !strings.Contains(got.err.Error(), "more than 1000 bytes") {
+		t.Errorf("a list beyond the limit: %+v", got)
+	}
+}
