Operators can ask a gateway for one backend, and drain does

Change: `/control/backends?backend=ID` answers with the version and that backend alone, with its work, also where it has left the list. `drain` asks so; a gateway of an earlier build passes the parameter over and answers with all, which the tool reads as before. TestViewOfOneBackend, TestDrain.

--- a/cmd/dunlintray/permits.go
+++ b/cmd/dunlintray/permits.go
@@ -333,7 +333,7 @@
 	for n, at := range gateways {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			text, _, err := c.once(ctx, http.MethodGet, "http://"+at+"/control/backends", nil)
+			text, _, err := c.once(ctx, http.MethodGet, "http://"+at+"/control/backends?backend="+url.QueryEscape(c.ID), nil)
 			if err == nil {
 				err = json.Unmarshal(text, &views[n])
 			}
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -162,3 +162,45 @@
 	}
 	r.tells(t, "app.skipped_backends:0|g")
 }
+
+// An operator who asks for one backend is told of that one alone, with its work, and of
+// none if the gateway does not hold it.
+func TestViewOfOneBackend(t *testing.T) {
+	t.Parallel()
+	first, second := newPeer(t), newPeer(t)
+	r := newRig(t, first, second)
+	wait(t, r.registry.calls, "first list")
+	wait(t, r.registry.calls, "watch")
+	_, served := r.client(t, ask("GET", "lookup", ""))
+	busy := first
+	select {
+	case <-first.conns:
+	case <-second.conns:
+		busy = second
+	case <-time.After(patience):
+		t.Fatal("no attempt")
+	}
+	for _, c := range []struct {
+		name string
+		held bool
+	}{{first.address(), true}, {second.address(), true}, {"none", false}} {
+		_, text := r.operate(t, "GET", "/control/backends?backend="+c.name)
+		var v BackendsView
+		if err := json.Unmarshal([]byte(text), &v); err != nil || v.Version != 1 || v.Fleet != 2 {
+			t.Fatalf("%v: %s", err, text)
+		}
+		switch {
+		case !c.held && len(v.Backends) == 0:
+		case !c.held || len(v.Backends) != 1 || v.Backends[0].ID != c.name:
+			t.Errorf("asked for %s: %s", c.name, text)
+		case (v.Backends[0].InFlight == 1) != (c.name == busy.address()):
+			t.Errorf("the work at %s, busy is %s: %s", c.name, busy.address(), text)
+		}
+	}
+	_, text := r.operate(t, "GET", "/control/backends")
+	if !strings.Contains(text, first.address()) || !strings.Contains(text, second.address()) {
+		t.Errorf("asked for all: %s", text)
+	}
+	r.stop()
+	<-served
+}
--- a/internal/gateway/hollow.go
+++ b/internal/gateway/hollow.go
@@ -71,7 +71,7 @@
 // has ended.
 func (h *Hollow) Backends() BackendsView {
 	view := make(chan BackendsView, 1)
-	if !h.loop.post(asked{view}) {
+	if !h.loop.post(asked{backendsQuery{all: true}, view}) {
 		return BackendsView{}
 	}
 	select {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -35,17 +35,38 @@
 // BackendNumber is by which number gateways know a backend.
 func BackendNumber(id string) uint32 { return uint32(backendID(id)) }
 
+// backendsQuery is which backends a view is about.
+type backendsQuery struct {
+	all    bool
+	number rules.BackendID // of the one, where not all are asked for
+}
+
+// includes reports whether the view has a backend.
+func (q backendsQuery) includes(number rules.BackendID) bool { return q.all || q.number == number }
+
+// readBackendsQuery reads the call's "backend", the name of the one that it asks for.
+func readBackendsQuery(r *http.Request) backendsQuery {
+	names := r.URL.Query()
+	if !names.Has("backend") {
+		return backendsQuery{all: true}
+	}
+	return backendsQuery{number: backendID(names.Get("backend"))}
+}
+
 // backends collects the view. It looks through all that is out when it is asked, so that
 // nothing has to be counted before.
-func (l *Loop) backends() BackendsView {
+func (l *Loop) backends(q backendsQuery) BackendsView {
 	v := BackendsView{Name: l.name, Rank: l.service.Rank, Fleet: l.service.Fleet, History: l.history, Version: l.version, Backends: []BackendWork{}}
 	held := map[rules.BackendID]*BackendWork{}
 	for id, i := range l.instances {
+		if !q.includes(id) {
+			continue
+		}
 		held[id] = &BackendWork{ID: i.ID, Number: uint32(id), Lifecycle: i.Lifecycle, ByHand: l.offline[id]}
 	}
 	for _, x := range l.live {
 		for _, a := range x.attempts {
-			if a.ended {
+			if a.ended || !q.includes(a.backend) {
 				continue
 			}
 			w := held[a.backend]
@@ -65,11 +86,11 @@
 
 // backendsHandler answers operators.
 func backendsHandler(l *Loop, beside func() bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
 		// A process that comes beside this one later has the list that this one has.
 		also := beside()
 		view := make(chan BackendsView, 1)
-		if !l.post(asked{view}) {
+		if !l.post(asked{readBackendsQuery(r), view}) {
 			http.Error(w, "this gateway ends", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -64,8 +64,11 @@
 		service *service
 		subset  subset.Settings
 	}
-	asked struct{ view chan<- BackendsView } // has room for one
-	news  struct {
+	asked struct {
+		query backendsQuery
+		view  chan<- BackendsView // has room for one
+	}
+	news struct {
 		listing Listing
 		kind    rules.ListKind
 		history string // of its version, where it has a name
@@ -232,7 +235,7 @@
 		l.receive(m)
 		l.history, l.version = m.history, m.listing.Generation
 	case asked:
-		m.view <- l.backends()
+		m.view <- l.backends(m.query)
 	}
 }
 
--- a/internal/gateway/slopes_test.go
+++ b/internal/gateway/slopes_test.go
@@ -70,7 +70,7 @@
 		l := largeLoop(t, list)
 		held.Points = append(held.Points, capacity.Point{Size: size, Value: float64(heapInUse() - before)})
 		runtime.KeepAlive(list)
-		text, err := json.Marshal(l.backends())
+		text, err := json.Marshal(l.backends(backendsQuery{all: true}))
 		if err != nil {
 			t.Fatal(err)
 		}
