--- a/internal/scale/churn_test.go
+++ b/internal/scale/churn_test.go
@@ -123,7 +123,7 @@
 		return Change{Version: version, At: at * 1e6, Service: service}
 	}
 	changes := []Change{of(3, 1, "s1"), of(5, 10, "s1"), of(6, 11, "s2"), of(8, 20, "s1"), of(9, 30, "s1")}
-	l := &life{told: []told{{4, 5e6}, {6, 14e6}, {8, 20.5e6}}}
+	l := &life{told: []update{{4, 5e6}, {6, 14e6}, {8, 20.5e6}}}
 	var got Latency
 	l.latency(g, changes, &got)
 	// 3 was on its first list, 6 is of another service, and 9 never came.
--- a/internal/scale/follow.go
+++ b/internal/scale/follow.go
@@ -9,15 +9,15 @@
 	"dunlintray/internal/registry"
 )
 
-// told is one answer that told a gateway something new.
-type told struct {
+// update is one answer that told a gateway something new.
+type update struct {
 	version int64
 	at      int64 // Unix nanoseconds
 }
 
 // life is what one process of a hollow gateway was told, from its first list to its end.
 type life struct {
-	told  []told
+	told  []update
 	ended int64 // Unix nanoseconds; 0: it goes on
 }
 
--- a/internal/scale/gateways.go
+++ b/internal/scale/gateways.go
@@ -98,7 +98,7 @@
 	if len(l.told) == 0 {
 		h.of.listed.Add(1)
 	}
-	l.told = append(l.told, told{t.Generation, now})
+	l.told = append(l.told, update{t.Generation, now})
 }
 
 // end ends the present life, as a kill does: nobody is told.
@@ -147,7 +147,7 @@
 	for _, h := range f.all {
 		h.mu.Lock()
 		for _, l := range h.lives {
-			s.Heap -= uint64(cap(l.told)) * uint64(unsafe.Sizeof(told{})) // the measurement's own
+			s.Heap -= uint64(cap(l.told)) * uint64(unsafe.Sizeof(update{})) // the measurement's own
 		}
 		g := h.gateway
 		h.mu.Unlock()
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -410,7 +410,7 @@
 		if err := pause(ctx, time.Until(began.Add(step.at))); err != nil {
 			return err
 		}
-		if err := r.strike(step); err != nil {
+		if err := r.inject(step); err != nil {
 			return fmt.Errorf("%s: %w", step.fault.Kind, err)
 		}
 	}
@@ -488,8 +488,8 @@
 	return &Chosen{Region: f.Region, All: f.Region == ""}
 }
 
-// strike begins or ends a fault.
-func (r *runner) strike(at step) error {
+// inject begins or ends a fault.
+func (r *runner) inject(at step) error {
 	f := at.fault
 	word := "begins"
 	if at.ends {
@@ -528,11 +528,11 @@
 		}
 		return nil
 	}
-	return r.strikeService(f, at.ends)
+	return r.injectKill(f, at.ends)
 }
 
-// strikeService kills a list service, or starts it again.
-func (r *runner) strikeService(f *Fault, ends bool) error {
+// injectKill kills a list service, or starts it again.
+func (r *runner) injectKill(f *Fault, ends bool) error {
 	for _, p := range r.services {
 		p.mu.Lock()
 		meant := p.meant
