--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"dunlintray/internal/registry"
@@ -82,6 +83,47 @@
 	return known
 }
 
+// scopeChange moves a reader from scopes to others. The scopes in force stay beside the
+// next ones until a list service knows one of these, so that a name that is misspelt in a
+// configuration leaves the gateway with the backends that it had.
+type scopeChange struct {
+	mu      sync.Mutex
+	inForce []registry.Scope
+	next    []registry.Scope // nil: nothing changes
+}
+
+// begin starts a change, in place of one that is under way, and returns what to read.
+func (c *scopeChange) begin(next []registry.Scope) []registry.Scope {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = next
+	return c.both()
+}
+
+// both returns the scopes in force and the next ones. The caller has the lock.
+func (c *scopeChange) both() []registry.Scope { return slices.Concat(c.inForce, c.next) }
+
+// answered takes in which of the scopes of an answer are unknown. It returns what to read
+// from now on, and whether that has changed.
+func (c *scopeChange) answered(scopes *registry.ScopeSet, unknown []registry.Scope) ([]registry.Scope, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == nil {
+		return nil, false
+	}
+	asked, err := registry.NewScopeSet(c.both())
+	if err != nil || asked.ID() != scopes.ID() {
+		return nil, false // the answer to an earlier call
+	}
+	known := func(scope registry.Scope) bool { return !slices.Contains(unknown, scope) }
+	if !slices.ContainsFunc(c.next, known) {
+		slog.Warn("scopes in force stay, as no list service knows the new ones")
+		return nil, false
+	}
+	c.inForce, c.next = c.next, nil
+	return c.inForce, true
+}
+
 // unknownScopes logs the scopes that list services do not know, once for each change.
 type unknownScopes struct{ last []registry.Scope }
 
@@ -97,11 +139,11 @@
 	slog.Warn("scopes that list services do not know", "scopes", texts)
 }
 
-// subsetFigures are what operators are told of the subset.
-type subsetFigures struct{ candidates, size, chosen, widened atomic.Int64 }
+// subsetMetrics are what operators are told of the subset.
+type subsetMetrics struct{ candidates, size, chosen, widened atomic.Int64 }
 
 // write puts the figures out. Of a gateway that uses all backends they are nil.
-func (f *subsetFigures) write(w io.Writer) {
+func (f *subsetMetrics) write(w io.Writer) {
 	if f == nil {
 		return
 	}
@@ -118,13 +160,13 @@
 type backendSubset struct {
 	selector *subset.Selector
 	settings subset.Settings
-	figures  *subsetFigures
+	figures  *subsetMetrics
 	listed   bool // a list has come from a list service
 	widened  int
 	sharing  int // gateways that use one backend, in the mean
 }
 
-func newBackendSubset(name string, settings subset.Settings, f *subsetFigures) *backendSubset {
+func newBackendSubset(name string, settings subset.Settings, f *subsetMetrics) *backendSubset {
 	if !settings.On() {
 		return nil
 	}
@@ -225,5 +267,41 @@
 	if l.subset.note() {
 		l.handle(rules.Retune{Settings: l.settings()})
 	}
+	for _, i := range chosen.Instances {
+		if i.Lifecycle == registry.Ready && l.outside[i.ID] {
+			l.enterBanned(i)
+		}
+	}
 	l.list(chosen, kind)
 }
+
+// banOutside keeps an operator's word on a backend outside the subset, which the module
+// does not know, for when it enters.
+func (l *Loop) banOutside(id string, offline bool) (known bool) {
+	if l.subset == nil || !l.outside[id] && !l.subset.selector.Listed(id) {
+		return false
+	}
+	if delete(l.outside, id); offline {
+		l.outside[id] = true
+	}
+	slog.Info("by hand, outside the subset", "backend", id, "offline", offline)
+	return true
+}
+
+// namedOnce returns the set of names.
+func namedOnce(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
+// enterBanned makes a backend known to the module that is out by hand. It enters as one
+// that drains, since nothing may go there before the module has the operator's word.
+func (l *Loop) enterBanned(i Instance) {
+	delete(l.outside, i.ID)
+	i.Lifecycle = registry.Terminating
+	l.list(Listing{Instances: []Instance{i}}, rules.Delta)
+	l.ban(i.ID, true)
+}
--- a/internal/gateway/scopes_test.go
+++ b/internal/gateway/scopes_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
@@ -17,6 +19,7 @@
 
 	"dunlintray/internal/registry"
 	"dunlintray/internal/subset"
+	"dunlintray/rules"
 )
 
 // scopedList is a list service with backends in several scopes.
@@ -302,6 +305,70 @@
 	}
 }
 
+// An operator's word holds for a backend outside the subset too, from the moment that it
+// enters, and in the process that comes next.
+func TestByHandOutsideTheSubset(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 4})
+	l, dir := newPlatform(t)
+	start := func() *rig {
+		c, err := parseConfig([]byte(s.config("gw-1", scopesHere)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.HandoverDir = dir
+		r := &rig{ended: make(chan error, 1)}
+		r.serve(t, &c, duplicate(t, l))
+		r.until(t, http.StatusOK)
+		return r
+	}
+	old := start()
+	first := old.inUse(t)
+	last := ""
+	for id := range s.backends {
+		if !slices.Contains(first, id) {
+			last = id
+		}
+	}
+	for _, call := range []struct {
+		path   string
+		status int
+	}{{"none/offline", 404}, {"none/online", 404}, {last + "/offline", 200}, {last + "/online", 200}, {last + "/offline", 200}} {
+		if status, text := old.operate(t, "POST", "/control/backends/"+call.path); status != call.status {
+			t.Errorf("%s: %d %s", call.path, status, text)
+		}
+	}
+	until(t, "the next process can take over", func() bool { _, err := os.Stat(filepath.Join(dir, handoverName)); return err == nil })
+	next := start()
+	next.tells(t, "app.subset.chosen:3|g", "app.skipped_backends:0|g")
+	s.drain(t, first[0]) // now the last one enters
+	for _, r := range []*rig{old, next} {
+		r.tells(t, "app.known_backends:4|g", "app.skipped_backends:2|g")
+	}
+	s.allServed(t, next, first[1:]) // by either process, as they have one socket
+	if status, _ := next.operate(t, "POST", "/control/backends/"+last+"/online"); status != 200 {
+		t.Errorf("back: %d", status)
+	}
+	for _, r := range []*rig{old, next} {
+		r.tells(t, "app.known_backends:4|g", "app.skipped_backends:1|g")
+	}
+}
+
+// duplicate returns another listener of the same socket.
+func duplicate(t *testing.T, shared net.Listener) net.Listener {
+	t.Helper()
+	f, err := shared.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // A reload changes the scopes and the subset of a gateway that has them, and no others.
 func TestReloadOfScopes(t *testing.T) {
 	t.Parallel()
@@ -394,3 +461,99 @@
 		t.Errorf("%+v without scopes", got)
 	}
 }
+
+// The module is told how many gateways share a backend, and again only when that has
+// changed by a tenth.
+func TestSharing(t *testing.T) {
+	t.Parallel()
+	of := func(first, last int) Listing {
+		l := Listing{Reset: first == 0}
+		for n := first; n < last; n++ {
+			l.Instances = append(l.Instances, Instance{ID: fmt.Sprint("b-", n), Lifecycle: registry.Ready})
+		}
+		return l
+	}
+	s := newBackendSubset("gw-1", subset.Settings{Size: 10, Fleet: 500}, &subsetMetrics{})
+	for _, step := range []struct {
+		first, last, sharing int
+		told                 bool
+	}{{0, 100, 50, true}, {100, 105, 50, false}, {105, 200, 25, true}, {200, 250, 20, true}} {
+		s.choose(0, of(step.first, step.last), rules.Delta)
+		if told := s.note(); told != step.told || s.sharing != step.sharing {
+			t.Errorf("of %d: shared by %d, told %t", step.last, s.sharing, told)
+		}
+	}
+	if got := s.figures.candidates.Load(); got != 250 {
+		t.Errorf("%d candidates", got)
+	}
+}
+
+// A gateway whose new scopes no list service knows goes on with those that it had, and
+// takes the new ones once there is such a service.
+func TestReloadOfUnknownScopes(t *testing.T) {
+	t.Parallel()
+	s := newScopedList(t, map[registry.Placement]int{checkoutHere: 4})
+	r := s.gateway(t, "gw-1", scopesHere)
+	had := s.bestOf("gw-1", checkoutHere)
+	until(t, "the scope is in use", func() bool { return slices.Equal(r.inUse(t), had) })
+
+	c, err := parseConfig([]byte(s.config("gw-1", `"scopes": ["chekcout"], "subset": {"size": 3}`)))
+	r.reloads <- Reload{Config: c, Err: err}
+	r.tells(t, "app.loads:1|c")
+	before := s.version(t)
+	s.drain(t, had[0]) // which is heard in the union of both, and so behind its first answer
+	until(t, "the drain was heard", func() bool { return r.view(t).Version > before })
+	if got := r.inUse(t); len(got) != len(had) || slices.Contains(got, had[0]) {
+		t.Errorf("in use after a reload with an unknown scope: %v, before %v", got, had)
+	}
+	s.allServed(t, r, r.inUse(t))
+
+	place := registry.Placement{Service: "chekcout", Region: "us", Zone: checkoutHere.Zone}
+	b := &scopedBackend{placement: place}
+	b.server = httptest.NewServer(b)
+	t.Cleanup(b.server.Close)
+	s.backends["late"] = b
+	s.register(t, "late")
+	until(t, "the new scope is in use", func() bool { return slices.Equal(r.inUse(t), []string{"late"}) })
+}
+
+// The scopes in force stay until an answer to both says that one of the next is known.
+func TestScopeChange(t *testing.T) {
+	scopesOf := func(texts ...string) []registry.Scope {
+		scopes, err := registry.ParseScopes(texts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return scopes
+	}
+	set := func(texts ...string) *registry.ScopeSet {
+		s, err := registry.NewScopeSet(scopesOf(texts...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	c := scopeChange{inForce: scopesOf("a")}
+	if _, changed := c.answered(set("a"), nil); changed {
+		t.Error("an answer changes the scopes of a reader that keeps them")
+	}
+	if read := c.begin(scopesOf("b", "c")); !slices.Equal(read, scopesOf("a", "b", "c")) {
+		t.Errorf("reads %v while the scopes change", read)
+	}
+	for name, answer := range map[string]struct {
+		of      *registry.ScopeSet
+		unknown []registry.Scope
+	}{
+		"an answer to the call before":     {set("a"), nil},
+		"an answer that knows none":        {set("a", "b", "c"), scopesOf("b", "c")},
+		"an answer to scopes of long ago":  {set("a", "d"), scopesOf("b")},
+		"an answer with the old one alone": {nil, nil},
+	} {
+		if _, changed := c.answered(answer.of, answer.unknown); changed {
+			t.Errorf("%s ends the scopes in force", name)
+		}
+	}
+	if read, changed := c.answered(set("a", "b", "c"), scopesOf("c")); !changed || !slices.Equal(read, scopesOf("b", "c")) {
+		t.Errorf("reads %v, changed %v, once a scope is known", read, changed)
+	}
+}
--- a/internal/registry/scope_http_test.go
+++ b/internal/registry/scope_http_test.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -155,6 +157,25 @@
 	until(t, "the last scopes", func() bool { return w.ids() == "x01:R x02:R" })
 }
 
+func FuzzSubscription(f *testing.F) {
+	for _, text := range []string{`{"scopes":["a","b@region=r"]}`, `{"scopes":[]}`, `{"scopes":null}`, `{`, `{"scopes":["a@zone=z","a@zone=z"]}`} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		set, err := readSubscription(strings.NewReader(text), 1<<12, 10)
+		if err != nil {
+			if code := status(err); code != 400 && code != 413 {
+				t.Errorf("%v", err)
+			}
+			return
+		}
+		again, err := NewScopeSet(mustScopes(t, set.Strings()...))
+		if err != nil || set.Len() < 1 || set.Len() > 10 || again.ID() != set.ID() {
+			t.Errorf("%v, %v", set.Strings(), err)
+		}
+	})
+}
+
 // Scopes that make no sense, or are too many, are refused with one clear line.
 func TestBadSubscriptions(t *testing.T) {
 	t.Parallel()
@@ -328,6 +349,51 @@
 	}
 }
 
+// Readers that lose their follower all at once go on from where they are at another, and
+// hear of what has changed meanwhile, without their lists anew.
+func TestScopedReadersLoseTheirFollower(t *testing.T) {
+	t.Parallel()
+	const readers = 200
+	writer := newWriterService(t, testServes)
+	for n := range 20 {
+		writer.putPlaced(t, of(fmt.Sprint("x", n), fmt.Sprint("s", n), "r1", "z1"))
+	}
+	var followers []*service
+	for range 2 {
+		s, _ := newFollowerService(t, writer.address)
+		until(t, "the follower has the list", func() bool {
+			code, text, _ := call(t, "GET", s.url(""), "")
+			return code == 200 && strings.Count(text, "instanceId") == 20
+		})
+		followers = append(followers, s)
+	}
+	var all []*scopedWatching
+	for n := range readers {
+		all = append(all, watchScopes(t, []string{followers[0].address, followers[1].address}, fmt.Sprint("s", n%20), fmt.Sprint("own", n)))
+	}
+	for n, w := range all {
+		until(t, "a reader has its scopes", func() bool { return w.ids() == fmt.Sprintf("x%d:R", n%20) })
+	}
+	followers[0].stop()
+	for n := range 20 {
+		if code, text, _ := call(t, "POST", writer.url(fmt.Sprintf("/x%d/lifecycle", n)), `{"lifecycle":"Terminating","startedAtMs":1}`); code != 200 {
+			t.Fatalf("status %d: %s", code, text)
+		}
+	}
+	resets := 0
+	for n, w := range all {
+		until(t, "a reader hears of the drain", func() bool { return w.ids() == fmt.Sprintf("x%d:T", n%20) })
+		_, _, r := w.state()
+		resets += r
+	}
+	if resets != readers {
+		t.Errorf("%d lists anew for %d readers", resets-readers, readers)
+	}
+	if watching := followers[1].figures.watchers.Load(); watching > readers {
+		t.Errorf("%d watch at the other follower", watching)
+	}
+}
+
 // All that a reader of scopes asks goes over one connection.
 func TestScopesUseOneConnection(t *testing.T) {
 	t.Parallel()
@@ -443,6 +509,118 @@
 	}
 }
 
+// BenchmarkScopedWatch counts the processor time of one change with so many watchers that
+// wait, each with scopes of its own: all wake, and one in a hundred is answered.
+func BenchmarkScopedWatch(b *testing.B) {
+	for _, watchers := range []int{100, 1000, 3000} {
+		b.Run(fmt.Sprint(watchers, "watchers"), func(b *testing.B) {
+			s, questions := scopedWatchers(b, watchers)
+			ctx, stop := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer stop()
+			answered := make(chan int64, watchers)
+			for _, q := range questions {
+				wg.Go(func() {
+					for q := *q; ; {
+						found, err := s.await(ctx, q, time.Hour)
+						if err != nil {
+							return
+						}
+						var l Listing
+						json.Unmarshal(found.body, &l)
+						q.Since = l.Generation
+						answered <- l.Generation
+					}
+				})
+			}
+			for s.figures.watchers.Load() < int64(watchers) {
+				runtime.Gosched()
+			}
+			before := processorTime(b)
+			b.ResetTimer()
+			for n := range b.N {
+				_, err := s.change(func(now time.Duration) (Written, error) {
+					s.wokenAt = time.Time{} // no waiting for further changes
+					i := of(fmt.Sprint("x", n%100), fmt.Sprint("common", n%100), "r", "z")
+					i.StartedAtMs = int64(n + 2)
+					return s.store.Register(now, i, nil)
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				for range watchers / 100 {
+					<-answered
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu_us/op")
+		})
+	}
+}
+
+// BenchmarkPassOver counts what it takes to look for so many watches whether a burst of a
+// thousand changes, none of which does, concerns them.
+func BenchmarkPassOver(b *testing.B) {
+	for _, watchers := range []int{100, 1000} {
+		b.Run(fmt.Sprint(watchers, "watchers"), func(b *testing.B) {
+			s, questions := scopedWatchers(b, watchers)
+			since := s.store.version
+			for n := range 1000 {
+				s.store.Register(0, of(fmt.Sprint("burst", n), fmt.Sprint("elsewhere", n%200), "r", "z"), nil)
+			}
+			for _, q := range questions {
+				s.watches[newScopedWatch(*q)] = struct{}{}
+			}
+			b.ResetTimer()
+			for range b.N {
+				for watch := range s.watches {
+					watch.question.Since = since
+				}
+				s.passOver()
+			}
+			for watch := range s.watches {
+				if watch.question.Since != s.store.version || len(watch.concerned) > 0 {
+					b.Fatal("a watch was woken")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(watchers)/1000, "ns/watch/change")
+		})
+	}
+}
+
+// processorTime is what this process has used of it.
+func processorTime(t testing.TB) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkScopeSet counts the memory of a set of so many scopes.
+func BenchmarkScopeSet(b *testing.B) {
+	for _, n := range []int{1, 50, 500, 4096} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var scopes []Scope
+			for m := range n {
+				scopes = append(scopes, Scope{Service: fmt.Sprint("service-", m), Region: fmt.Sprint("eu-", m%9)})
+			}
+			sets := make([]*ScopeSet, 64)
+			before := heap()
+			for m := range sets {
+				sets[m], _ = NewScopeSet(scopes)
+			}
+			perSet := float64(heap()-before) / float64(len(sets))
+			for b.Loop() {
+				NewScopeSet(scopes)
+			}
+			runtime.KeepAlive(sets)
+			b.ReportMetric(perSet, "B/set")
+		})
+	}
+}
+
 // scopedWatchers are questions of so many watchers that are at the last version, each of
 // ten services of its own and one that it has in common with one in a hundred.
 func scopedWatchers(t testing.TB, watchers int) (*Server, []*ScopedRead) {
@@ -474,7 +652,7 @@
 	}
 	answered := 0
 	for _, q := range questions {
-		found, _, err := s.look(q, false)
+		found, err := s.look(q, false)
 		if err != nil {
 			t.Fatal(err)
 		}
