Scale runs: one whose backends do not all serve again has failed

A run beside a busy machine (load 47 on 8 cores) lost its writer, had 1,353 calls a second refused, and left 19 of 1,800 backends off the list; it ended with status 0.

--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -24,6 +24,9 @@
 	Final    *Final         `json:"final"`
 	MostMB   float64        `json:"mostMB"` // of all processes at once
 	Marks    []string       `json:"marks,omitempty"`
+
+	// Unsettled says that not all backends served at the end: writes were not answered.
+	Unsettled bool `json:"unsettled,omitempty"`
 }
 
 // Role is what the processes of a role used, each, in the mean.
@@ -86,7 +89,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seconds := after.at.Sub(before.at).Seconds()
-	out := &Result{Scenario: r.s, Seconds: seconds, Changes: len(changes), Versions: after.version - before.version, Final: final, MostMB: r.most, Marks: slices.Clone(r.marks),
+	out := &Result{Scenario: r.s, Seconds: seconds, Changes: len(changes), Versions: after.version - before.version, Final: final, MostMB: r.most, Marks: slices.Clone(r.marks), Unsettled: r.unsettled,
 		Told: LatencySummary{latency.All(), latency.Quantile(0.5), latency.Quantile(0.99), latency.Most, latency.Missing}}
 	if r.load != nil {
 		out.Requests = r.load.stop()
@@ -259,6 +262,8 @@
 // Failed says why the run's counts do not add up; empty: they do.
 func (r *Result) Failed() string {
 	switch {
+	case r.Unsettled:
+		return "not all backends served at the end"
 	case r.Told.Missing > 0:
 		return fmt.Sprintf("%d changes did not come to a gateway", r.Told.Missing)
 	case r.Final.Checked && r.Final.Same < r.Final.Of:
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -71,6 +71,8 @@
 	links    map[int]*link.Relay // by the follower's place among the services
 	load     *load
 
+	unsettled bool // at the end, not all backends served
+
 	mu      sync.Mutex
 	started []*process // of all roles
 	changes []Change
@@ -445,6 +447,7 @@
 		}
 	}
 	r.mark("not all backends serve")
+	r.unsettled = true
 	return nil
 }
 
