--- a/rules/rules.go
+++ b/rules/rules.go
@@ -166,9 +166,9 @@
 	if r.Sent == 0 {
 		r.Sent = g.now
 	}
-	j := &job{Request: r, class: c, mostTries: max(g.set.MaxAttempts, 1), level: g.levelOf(c.Worth * p.Price)}
-	j.giveUp = g.lastUse(j)
-	g.jobs[r.ID] = j
+	j := &pendingRequest{Request: r, class: c, level: g.levelOf(c.Worth * p.Price)}
+	j.giveUp, j.mostTries = g.lastUse(j), max(g.set.MaxAttempts, 1)
+	g.requests[r.ID] = j
 	g.arrived[j.level]++
 	who := g.customerOf(r)
 	j.customer = who
@@ -192,7 +192,7 @@
 }
 
 // lastUse is when an answer to j ceases to earn anything.
-func (g *Gateway) lastUse(j *job) float64 {
+func (g *Gateway) lastUse(j *pendingRequest) float64 {
 	t := min(j.Deadline, g.endsAt) - 2*g.set.Tick
 	if c := j.class; c.LateWorth == 0 && c.AimStretch == 0 {
 		t = min(t, j.Sent+c.Aim-g.elapsed(j.Request, c))
@@ -222,7 +222,7 @@
 
 // due handles a timer.
 func (g *Gateway) due(token uint64) {
-	j, n := g.jobs[RequestID(uint32(token))], int(uint8(token>>32))
+	j, n := g.requests[RequestID(uint32(token))], int(uint8(token>>32))
 	switch kind := token >> 56; {
 	case kind == timerHousekeeping:
 		g.housekeeping()
@@ -250,7 +250,7 @@
 
 // enqueue puts a paid request in the queue of its level, unless the wait would outlast its aim: Wh <= X /
 // (1 - X*Ah), X being the time in which the bound frees a place and Ah the arrivals of higher levels.
-func (g *Gateway) enqueue(j *job) {
+func (g *Gateway) enqueue(j *pendingRequest) {
 	x := g.latency / max(g.bound*g.share, 1e-3)
 	ahead, higher := 1+float64(len(g.queues[j.level])), 0.0
 	for l := j.level + 1; l < len(g.queues); l++ {
@@ -296,7 +296,7 @@
 
 // pick chooses the backend with the fewest own attempts of equal or higher level, measured against the
 // work it is believed to bear. It returns nil if none may be used now.
-func (g *Gateway) pick(j *job) *server {
+func (g *Gateway) pick(j *pendingRequest) *server {
 	var best, well, trial *server
 	usable, sick := 0, 0
 	for at, s := range g.list {
@@ -339,7 +339,7 @@
 // many gateways each keeps, among backends with as much in flight, to those to which a connection stands: it
 // needs fewer and learns more of each. New ones it opens from its own place in the list on, so that all
 // backends get as many gateways; a short stretch there is as good as connected, so that none gets too few.
-func (g *Gateway) cost(s *server, j *job, at int) float64 {
+func (g *Gateway) cost(s *server, j *pendingRequest, at int) float64 {
 	higher := 0
 	for _, n := range s.levels[j.level:] {
 		higher += n
@@ -378,7 +378,7 @@
 }
 
 // inGroup tells whether s would drop a repeat of j, if j may have run.
-func (j *job) inGroup(s *server) bool {
+func (j *pendingRequest) inGroup(s *server) bool {
 	if !j.mayRun || j.class.Effect == Repeatable {
 		return true
 	}
@@ -389,7 +389,7 @@
 
 // send starts an attempt; nothing else does. It holds the rules on effects, on attempts out at once and on
 // drains and bans, whoever asks.
-func (g *Gateway) send(j *job, s *server) bool {
+func (g *Gateway) send(j *pendingRequest, s *server) bool {
 	tries := len(j.attempts)
 	before := 0.0 // a repeat may wait for its connection until its key is forgotten
 	if j.mayRun && j.class.Effect == ByKey {
@@ -424,7 +424,7 @@
 }
 
 // begin counts an attempt that its backend has whole, or is about to.
-func (g *Gateway) begin(j *job, n int) {
+func (g *Gateway) begin(j *pendingRequest, n int) {
 	g.enter(&j.attempts[n], j.level)
 	if g.latency > 0 {
 		g.timer(g.lateAfter(), timerLate, n, j.ID)
@@ -468,7 +468,7 @@
 
 // attemptEnd books the end of an attempt and decides what becomes of the request.
 func (g *Gateway) attemptEnd(e AttemptEnd) {
-	j := g.jobs[e.Request]
+	j := g.requests[e.Request]
 	if j == nil || e.Attempt >= len(j.attempts) || j.attempts[e.Attempt].ended {
 		return
 	}
@@ -503,13 +503,13 @@
 		g.giveBack(j, noRetry)
 	}
 	if j.done && j.out == 0 {
-		delete(g.jobs, j.ID)
+		delete(g.requests, j.ID)
 	}
 	g.admit(j.customer)
 }
 
 // settle puts the guess right, once the true units are told.
-func (g *Gateway) settle(j *job, units float64) {
+func (g *Gateway) settle(j *pendingRequest, units float64) {
 	if g.set.UnitsSettled && units > 0 {
 		j.customer.units -= units - j.Units
 	}
@@ -528,7 +528,7 @@
 }
 
 // again starts a further attempt if the budget has room and time remains.
-func (g *Gateway) again(j *job) bool {
+func (g *Gateway) again(j *pendingRequest) bool {
 	if g.retries < 1 || g.now+g.latency > j.giveUp || g.full(len(g.worths)-1) {
 		return false
 	}
@@ -542,7 +542,7 @@
 
 // late deals with an attempt that takes longer than nearly all do: silence counts against the backend, and
 // where allowed a second copy goes elsewhere.
-func (g *Gateway) late(j *job, n int) {
+func (g *Gateway) late(j *pendingRequest, n int) {
 	a := &j.attempts[n]
 	if j.streams {
 		return
@@ -563,7 +563,7 @@
 
 // giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
-func (g *Gateway) giveBack(j *job, why reason) {
+func (g *Gateway) giveBack(j *pendingRequest, why reason) {
 	g.given[why]++
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		// Clients that follow it come back when there may be room, and not before.
@@ -579,9 +579,9 @@
 }
 
 // close ends a request for good and calls off what is still out.
-func (g *Gateway) close(j *job) {
+func (g *Gateway) close(j *pendingRequest) {
 	j.done = true
-	j.customer.waiting = slices.DeleteFunc(j.customer.waiting, func(w *job) bool { return w == j })
+	j.customer.waiting = slices.DeleteFunc(j.customer.waiting, func(w *pendingRequest) bool { return w == j })
 	if j.paid && len(j.attempts) == 0 {
 		j.customer.units += j.Units
 		j.customer.open--
@@ -592,12 +592,12 @@
 		}
 	}
 	if j.out == 0 {
-		delete(g.jobs, j.ID)
+		delete(g.requests, j.ID)
 	}
 }
 
 // observe learns from an outcome: the backend's health and pace, and the bound.
-func (g *Gateway) observe(j *job, a *attempt, e AttemptEnd) {
+func (g *Gateway) observe(j *pendingRequest, a *attempt, e AttemptEnd) {
 	s := a.on
 	took := g.now - a.sent
 	if a.answered > 0 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -680,7 +680,7 @@
 					how = Errored
 					toBad++
 				}
-				n := len(d.g.jobs[s.Request].attempts) - 1
+				n := len(d.g.requests[s.Request].attempts) - 1
 				todo = append(todo, d.handle(AttemptEnd{Request: s.Request, Attempt: n, Backend: s.Backend, Outcome: how,
 					Took: 0.002, Done: how == Served})...)
 			}
@@ -741,7 +741,7 @@
 			t.Errorf("bound %v: %d more sent when all attempts were late, want %d", c.bound, sends, c.sends)
 		}
 		for _, timer := range late { // their late ends free nothing twice
-			d.handle(AttemptEnd{Request: RequestID(uint32(timer.Token)), Backend: d.g.jobs[RequestID(uint32(timer.Token))].attempts[0].on.ID,
+			d.handle(AttemptEnd{Request: RequestID(uint32(timer.Token)), Backend: d.g.requests[RequestID(uint32(timer.Token))].attempts[0].on.ID,
 				Outcome: Served, Done: true})
 		}
 		if d.g.inFlight < 0 || d.g.inFlight > int(c.bound) {
@@ -761,7 +761,7 @@
 		for len(todo) > 0 {
 			for _, s := range find[Send](todo[:1]) {
 				sends++
-				n := len(d.g.jobs[s.Request].attempts) - 1
+				n := len(d.g.requests[s.Request].attempts) - 1
 				todo = append(todo, d.handle(AttemptEnd{Request: s.Request, Attempt: n, Backend: s.Backend, Outcome: Errored,
 					Took: 0.001})...)
 			}
@@ -1012,7 +1012,7 @@
 	sent, together := 0, 0
 	for i := range 4000 { // ten a second; each takes half a second
 		d.now += 0.1
-		for len(out) > 0 && d.now > d.g.jobs[out[0].Request].attempts[0].sent+0.5 {
+		for len(out) > 0 && d.now > d.g.requests[out[0].Request].attempts[0].sent+0.5 {
 			d.handle(AttemptEnd{Request: out[0].Request, Backend: out[0].Backend, Took: 0.5, Outcome: Full})
 			out = out[1:]
 		}
@@ -1574,7 +1574,7 @@
 	d.nextID++
 	late := d.handle(Request{ID: d.nextID, Class: 1, Own: &was, Plan: 1, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 3})
 	s := one[Send](t, late)
-	if j := d.g.jobs[s.Request]; j.class.Effect != ByKey || j.level != d.g.levelOf(was.Worth*next.Plans[1].Price) {
+	if j := d.g.requests[s.Request]; j.class.Effect != ByKey || j.level != d.g.levelOf(was.Worth*next.Plans[1].Price) {
 		t.Errorf("a late request has class %+v and level %d", j.class, j.level)
 	}
 	d.handle(AttemptEnd{Request: d.nextID, Backend: s.Backend, Outcome: Served})
--- a/rules/state.go
+++ b/rules/state.go
@@ -16,8 +16,8 @@
 	rng *rand.Rand
 	out []Action
 
-	jobs      map[RequestID]*job
-	queues    [][]*job // by level, each in order of arrival
+	requests  map[RequestID]*pendingRequest
+	queues    [][]*pendingRequest // by level, each in order of arrival
 	worths    []float64
 	servers   map[BackendID]*server
 	list      []*server // by id
@@ -74,8 +74,8 @@
 	return n
 }
 
-// job is one request from its arrival until its last attempt has ended.
-type job struct {
+// pendingRequest is a request from its arrival until its last attempt has ended.
+type pendingRequest struct {
 	Request
 	class               *Class // as it was when the request came
 	mostTries           int    // likewise
@@ -127,8 +127,8 @@
 }
 
 // live returns a request that is not over, or nil.
-func (g *Gateway) live(id RequestID) *job {
-	if j := g.jobs[id]; j != nil && !j.done {
+func (g *Gateway) live(id RequestID) *pendingRequest {
+	if j := g.requests[id]; j != nil && !j.done {
 		return j
 	}
 	return nil
@@ -164,13 +164,13 @@
 	gateways       int
 	index          int
 	terms          terms
-	seen, demand   float64 // units a second, here
-	open           int     // requests let in and not over, and further attempts
-	waiting        []*job  // highest level first
-	units, expires float64 // leased and not spent
-	leased         float64 // window of the last lease
-	idle           float64 // leased in this window, left over and not yet given back
-	window         float64 // number of the counter's window
+	seen, demand   float64           // units a second, here
+	open           int               // requests let in and not over, and further attempts
+	waiting        []*pendingRequest // highest level first
+	units, expires float64           // leased and not spent
+	leased         float64           // window of the last lease
+	idle           float64           // leased in this window, left over and not yet given back
+	window         float64           // number of the counter's window
 	name           uint64
 	known          float64 // the window's total as last seen
 	met            bool    // the counter has told of it
@@ -243,11 +243,11 @@
 // makeRoom allocates what the levels and the settings call for.
 func (g *Gateway) makeRoom(seed uint64) {
 	g.rng = rand.New(rand.NewPCG(seed, seed>>1))
-	g.jobs = map[RequestID]*job{}
+	g.requests = map[RequestID]*pendingRequest{}
 	g.servers = map[BackendID]*server{}
 	g.customers = map[CustomerID]*customer{}
 	g.calls = map[uint64][]call{}
-	g.queues = make([][]*job, len(g.worths))
+	g.queues = make([][]*pendingRequest, len(g.worths))
 	g.arrivals = make([]float64, len(g.worths))
 	g.arrived = make([]float64, len(g.worths))
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
@@ -279,14 +279,14 @@
 		level[l] = g.levelOf(w)
 	}
 	queues, arrivals, arrived := g.queues, g.arrivals, g.arrived
-	g.queues = make([][]*job, len(g.worths))
+	g.queues = make([][]*pendingRequest, len(g.worths))
 	g.arrivals, g.arrived = make([]float64, len(g.worths)), make([]float64, len(g.worths))
 	for l, to := range level {
 		g.queues[to] = append(g.queues[to], queues[l]...)
 		g.arrivals[to] += arrivals[l]
 		g.arrived[to] += arrived[l]
 	}
-	for _, j := range g.jobs {
+	for _, j := range g.requests {
 		j.level = level[j.level]
 	}
 	for _, s := range g.list {
