--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -37,7 +37,7 @@
 	slow, errors, spoilt, resets float64
 
 	conns   int
-	inWork  jobs
+	inWork  workHeap
 	waiting []*work
 	done    float64 // what each request in work has got since the backend is busy
 	asOf    time.Duration
@@ -56,16 +56,17 @@
 	reply  Reply
 }
 
-type jobs []*work
+// workHeap is a heap of the work in progress by the time at which it ends.
+type workHeap []*work
 
-func (j jobs) Len() int           { return len(j) }
-func (j jobs) Less(a, b int) bool { return j[a].until < j[b].until }
-func (j jobs) Swap(a, b int)      { j[a], j[b] = j[b], j[a] }
-func (j *jobs) Push(x any)        { *j = append(*j, x.(*work)) }
-func (j *jobs) Pop() any {
-	old := *j
+func (h workHeap) Len() int           { return len(h) }
+func (h workHeap) Less(a, b int) bool { return h[a].until < h[b].until }
+func (h workHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *workHeap) Push(x any)        { *h = append(*h, x.(*work)) }
+func (h *workHeap) Pop() any {
+	old := *h
 	last := old[len(old)-1]
-	*j = old[:len(old)-1]
+	*h = old[:len(old)-1]
 	return last
 }
 
