--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -230,8 +230,12 @@
 	}
 	w.Flush()
 	for n, r := range t.Results {
-		fmt.Fprintf(out, "%s: %d changes in %.1f s to %d readings, %d missing; %d of %d gateways hold the writer's list; at most %.0f MB\n",
-			t.Sweep.label(t.Points[n]), r.Changes, r.Seconds, r.Told.Readings, r.Told.Missing, r.Final.Same, r.Final.Of, r.MostMB)
+		lists := fmt.Sprintf("%d of %d gateways hold the writer's list", r.Final.Same, r.Final.Of)
+		if !r.Final.Checked {
+			lists = fmt.Sprintf("gateways hold %d to %d backends", r.Final.Least, r.Final.Most)
+		}
+		fmt.Fprintf(out, "%s: %d changes in %.1f s to %d readings, %d missing; %s; at most %.0f MB\n",
+			t.Sweep.label(t.Points[n]), r.Changes, r.Seconds, r.Told.Readings, r.Told.Missing, lists, r.MostMB)
 		for _, mark := range r.Marks {
 			fmt.Fprintf(out, "%s: %s\n", t.Sweep.label(t.Points[n]), mark)
 		}
