--- a/rules/rules.go
+++ b/rules/rules.go
@@ -79,32 +79,32 @@
 	newApart   = 0.2 // and up to so much more the farther ahead the backend is
 	connMargin = 1.0 // seconds before the backend closes it in which an idle connection is not counted on
 
-	askRest  = 1.0  // seconds until discovery is asked again after it failed, half to twice that
-	askMost  = 1.8  // where it fails again: longer would hold back what is told once it can be reached
-	houseGap = 0.05 // seconds between rounds of housekeeping
-	tellGap  = 1.0  // seconds between lines about requests that were given back
-	idleDrop = 60.0 // seconds after which a customer is forgotten
+	askRest              = 1.0  // seconds until discovery is asked again after it failed, half to twice that
+	askMost              = 1.8  // if it fails again: a longer wait would delay the list once it is back
+	housekeepingInterval = 0.05 // seconds between rounds of housekeeping
+	tellGap              = 1.0  // seconds between lines about requests that were given back
+	idleDrop             = 60.0 // seconds after which a customer is forgotten
 )
 
 // Kinds of timer, in the top byte of a token.
 const (
-	timerHouse = iota
-	timerStart // a request that has not been sent is too late now
-	timerEnd   // a request must be answered now
-	timerAsk   // discovery failed a while ago
-	timerLate  // an attempt takes longer than usual
+	timerHousekeeping = iota
+	timerStart        // a request that has not been sent is too late now
+	timerEnd          // a request must be answered now
+	timerAsk          // discovery failed a while ago
+	timerLate         // an attempt takes longer than usual
 )
 
 // New starts a gateway. It keeps nothing from an earlier life.
 func New(set Settings, seed uint64, now float64, out []Action) (*Gateway, []Action) {
-	g := &Gateway{set: set, now: now, out: out, born: now, lastHouse: now, lastCut: now, retries: retryMost,
-		share: 1, endsAt: math.Inf(1)}
+	g := &Gateway{set: set, now: now, out: out, born: now, lastHousekeeping: now, lastCut: now,
+		retries: retryMost, share: 1, endsAt: math.Inf(1)}
 	g.rank()
 	g.makeRoom(seed)
 	if set.AskDiscovery {
 		g.do(Subscribe{})
 	}
-	g.timer(houseGap, timerHouse, 0, 0)
+	g.timer(housekeepingInterval, timerHousekeeping, 0, 0)
 	return g, g.out
 }
 
@@ -166,9 +166,9 @@
 	if r.Sent == 0 {
 		r.Sent = g.now
 	}
-	j := &job{Request: r, class: c, mostTries: max(g.set.MaxAttempts, 1), level: g.levelOf(c.Worth * p.Price)}
-	j.giveUp = g.lastUse(j)
-	g.jobs[r.ID] = j
+	j := &pendingRequest{Request: r, class: c, level: g.levelOf(c.Worth * p.Price)}
+	j.giveUp, j.mostTries = g.lastUse(j), max(g.set.MaxAttempts, 1)
+	g.requests[r.ID] = j
 	g.arrived[j.level]++
 	who := g.customerOf(r)
 	j.customer = who
@@ -192,7 +192,7 @@
 }
 
 // lastUse is when an answer to j ceases to earn anything.
-func (g *Gateway) lastUse(j *job) float64 {
+func (g *Gateway) lastUse(j *pendingRequest) float64 {
 	t := min(j.Deadline, g.endsAt) - 2*g.set.Tick
 	if c := j.class; c.LateWorth == 0 && c.AimStretch == 0 {
 		t = min(t, j.Sent+c.Aim-g.elapsed(j.Request, c))
@@ -222,10 +222,10 @@
 
 // due handles a timer.
 func (g *Gateway) due(token uint64) {
-	j, n := g.jobs[RequestID(uint32(token))], int(uint8(token>>32))
+	j, n := g.requests[RequestID(uint32(token))], int(uint8(token>>32))
 	switch kind := token >> 56; {
-	case kind == timerHouse:
-		g.house()
+	case kind == timerHousekeeping:
+		g.housekeeping()
 	case kind == timerAsk:
 		g.do(Subscribe{})
 	case j == nil:
@@ -250,7 +250,7 @@
 
 // enqueue puts a paid request in the queue of its level, unless the wait would outlast its aim: Wh <= X /
 // (1 - X*Ah), X being the time in which the bound frees a place and Ah the arrivals of higher levels.
-func (g *Gateway) enqueue(j *job) {
+func (g *Gateway) enqueue(j *pendingRequest) {
 	x := g.latency / max(g.bound*g.share, 1e-3)
 	ahead, higher := 1+float64(len(g.queues[j.level])), 0.0
 	for l := j.level + 1; l < len(g.queues); l++ {
@@ -296,7 +296,7 @@
 
 // pick chooses the backend with the fewest own attempts of equal or higher level, measured against the
 // work it is believed to bear. It returns nil if none may be used now.
-func (g *Gateway) pick(j *job) *server {
+func (g *Gateway) pick(j *pendingRequest) *server {
 	var best, well, trial *server
 	usable, sick := 0, 0
 	for at, s := range g.list {
@@ -339,7 +339,7 @@
 // many gateways each keeps, among backends with as much in flight, to those to which a connection stands: it
 // needs fewer and learns more of each. New ones it opens from its own place in the list on, so that all
 // backends get as many gateways; a short stretch there is as good as connected, so that none gets too few.
-func (g *Gateway) cost(s *server, j *job, at int) float64 {
+func (g *Gateway) cost(s *server, j *pendingRequest, at int) float64 {
 	higher := 0
 	for _, n := range s.levels[j.level:] {
 		higher += n
@@ -378,7 +378,7 @@
 }
 
 // inGroup tells whether s would drop a repeat of j, if j may have run.
-func (j *job) inGroup(s *server) bool {
+func (j *pendingRequest) inGroup(s *server) bool {
 	if !j.mayRun || j.class.Effect == Repeatable {
 		return true
 	}
@@ -389,7 +389,7 @@
 
 // send starts an attempt; nothing else does. It holds the rules on effects, on attempts out at once and on
 // drains and bans, whoever asks.
-func (g *Gateway) send(j *job, s *server) bool {
+func (g *Gateway) send(j *pendingRequest, s *server) bool {
 	tries := len(j.attempts)
 	before := 0.0 // a repeat may wait for its connection until its key is forgotten
 	if j.mayRun && j.class.Effect == ByKey {
@@ -424,7 +424,7 @@
 }
 
 // begin counts an attempt that its backend has whole, or is about to.
-func (g *Gateway) begin(j *job, n int) {
+func (g *Gateway) begin(j *pendingRequest, n int) {
 	g.enter(&j.attempts[n], j.level)
 	if g.latency > 0 {
 		g.timer(g.lateAfter(), timerLate, n, j.ID)
@@ -468,7 +468,7 @@
 
 // attemptEnd books the end of an attempt and decides what becomes of the request.
 func (g *Gateway) attemptEnd(e AttemptEnd) {
-	j := g.jobs[e.Request]
+	j := g.requests[e.Request]
 	if j == nil || e.Attempt >= len(j.attempts) || j.attempts[e.Attempt].ended {
 		return
 	}
@@ -483,7 +483,7 @@
 		// let pass.
 		a.on.missed++
 		stay := min(g.latency*float64(a.on.missed), j.class.Deadline)
-		a.on.ghosts = append(a.on.ghosts, ghost{a.sent, g.now + stay, j.level, a.astray})
+		a.on.abandoned = append(a.on.abandoned, abandonedAttempt{a.sent, g.now + stay, j.level, a.astray})
 	} else {
 		g.uncount(a, j.level)
 	}
@@ -503,22 +503,22 @@
 		g.giveBack(j, noRetry)
 	}
 	if j.done && j.out == 0 {
-		delete(g.jobs, j.ID)
+		delete(g.requests, j.ID)
 	}
 	g.admit(j.customer)
 }
 
 // settle puts the guess right, once the true units are told.
-func (g *Gateway) settle(j *job, units float64) {
+func (g *Gateway) settle(j *pendingRequest, units float64) {
 	if g.set.UnitsSettled && units > 0 {
 		j.customer.units -= units - j.Units
 	}
 }
 
-// lay ends the ghosts of s that were sent before a served attempt, since backends take work in order, and
-// those that have outlived all patience.
+// lay stops counting the abandoned attempts of s that were sent before a served one, since backends work in
+// order, and those whose time is over.
 func (g *Gateway) lay(s *server, served float64) {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(h ghost) bool {
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(h abandonedAttempt) bool {
 		over := h.sent < served || h.until < g.now
 		if over {
 			g.leave(s, h.level, h.astray)
@@ -528,7 +528,7 @@
 }
 
 // again starts a further attempt if the budget has room and time remains.
-func (g *Gateway) again(j *job) bool {
+func (g *Gateway) again(j *pendingRequest) bool {
 	if g.retries < 1 || g.now+g.latency > j.giveUp || g.full(len(g.worths)-1) {
 		return false
 	}
@@ -542,7 +542,7 @@
 
 // late deals with an attempt that takes longer than nearly all do: silence counts against the backend, and
 // where allowed a second copy goes elsewhere.
-func (g *Gateway) late(j *job, n int) {
+func (g *Gateway) late(j *pendingRequest, n int) {
 	a := &j.attempts[n]
 	if j.streams {
 		return
@@ -563,7 +563,7 @@
 
 // giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
-func (g *Gateway) giveBack(j *job, why reason) {
+func (g *Gateway) giveBack(j *pendingRequest, why reason) {
 	g.given[why]++
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		// Clients that follow it come back when there may be room, and not before.
@@ -579,9 +579,9 @@
 }
 
 // close ends a request for good and calls off what is still out.
-func (g *Gateway) close(j *job) {
+func (g *Gateway) close(j *pendingRequest) {
 	j.done = true
-	j.customer.waiting = slices.DeleteFunc(j.customer.waiting, func(w *job) bool { return w == j })
+	j.customer.waiting = slices.DeleteFunc(j.customer.waiting, func(w *pendingRequest) bool { return w == j })
 	if j.paid && len(j.attempts) == 0 {
 		j.customer.units += j.Units
 		j.customer.open--
@@ -592,12 +592,12 @@
 		}
 	}
 	if j.out == 0 {
-		delete(g.jobs, j.ID)
+		delete(g.requests, j.ID)
 	}
 }
 
 // observe learns from an outcome: the backend's health and pace, and the bound.
-func (g *Gateway) observe(j *job, a *attempt, e AttemptEnd) {
+func (g *Gateway) observe(j *pendingRequest, a *attempt, e AttemptEnd) {
 	s := a.on
 	took := g.now - a.sent
 	if a.answered > 0 {
@@ -807,11 +807,11 @@
 	}
 }
 
-// house keeps averages and leases in order.
-func (g *Gateway) house() {
-	g.timer(houseGap, timerHouse, 0, 0)
-	span := max(g.now-g.lastHouse, g.set.Tick, 1e-3)
-	g.lastHouse = g.now
+// housekeeping updates averages and leases. It runs every housekeepingInterval.
+func (g *Gateway) housekeeping() {
+	g.timer(housekeepingInterval, timerHousekeeping, 0, 0)
+	span := max(g.now-g.lastHousekeeping, g.set.Tick, 1e-3)
+	g.lastHousekeeping = g.now
 	warm := 0
 	g.forget()
 	for _, s := range g.list {
@@ -852,7 +852,7 @@
 		return
 	}
 	line := fmt.Sprintf("given back: bound=%.1f in_flight=%d ghosts=%d latency=%.3f pressure=%.2f crowd=%.2f",
-		g.bound, g.inFlight, g.ghosts(), g.latency, g.pressure, g.crowd)
+		g.bound, g.inFlight, g.abandoned(), g.latency, g.pressure, g.crowd)
 	for why, n := range g.given {
 		if n > 0 {
 			line += fmt.Sprintf(" %s=%d", reasonNames[why], n)
@@ -1007,7 +1007,7 @@
 	case !g.set.Counter || g.now < c.restTill:
 		return c.open < c.terms.share
 	case c.open >= c.terms.places: // others need not be asked
-	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*houseGap &&
+	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*housekeepingInterval &&
 		!g.crowded(c):
 		g.slotWindow(c)
 		want := float64(min(len(c.waiting), c.terms.places))
@@ -1044,7 +1044,7 @@
 	if c.slots > 0 {
 		g.slotWindow(c) // what is held is told before anyone asks in the new window
 	}
-	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+houseGap) {
+	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+housekeepingInterval) {
 		c.slots -= spare
 		g.count(call{customer: c, name: c.slotName, fill: -float64(spare), slot: true}, nameKeep)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -16,8 +16,8 @@
 	rng *rand.Rand
 	out []Action
 
-	jobs      map[RequestID]*job
-	queues    [][]*job // by level, each in order of arrival
+	requests  map[RequestID]*pendingRequest
+	queues    [][]*pendingRequest // by level, each in order of arrival
 	worths    []float64
 	servers   map[BackendID]*server
 	list      []*server // by id
@@ -40,10 +40,10 @@
 	crowd, countedAt  float64 // share of counter calls that fail, and when the last of them ended
 	warmRate          float64 // own sends a second to a warm backend
 	warmSent          int
-	lastHouse         float64
+	lastHousekeeping  float64
 	askRest           float64 // pause after discovery failed
 	patience          []patience
-	arrivals, arrived []float64    // by level: a second, and since lastHouse
+	arrivals, arrived []float64    // by level: a second, and since lastHousekeeping
 	given             [reasons]int // requests given back since toldAt
 	toldAt            float64
 }
@@ -66,16 +66,16 @@
 var reasonNames = [reasons]string{"too_late", "over_quota", "no_counter", "no_lease", "no_room", "held_out",
 	"no_retry", "no_answer"}
 
-// ghosts counts the attempts that were given up and still count as work in flight.
-func (g *Gateway) ghosts() (n int) {
+// abandoned returns the number of abandoned attempts that still count as work in flight.
+func (g *Gateway) abandoned() (n int) {
 	for _, s := range g.list {
-		n += len(s.ghosts)
+		n += len(s.abandoned)
 	}
 	return n
 }
 
-// job is one request from its arrival until its last attempt has ended.
-type job struct {
+// pendingRequest is a request from its arrival until its last attempt has ended.
+type pendingRequest struct {
 	Request
 	class               *Class // as it was when the request came
 	mostTries           int    // likewise
@@ -103,8 +103,8 @@
 	ended    bool
 }
 
-// ghost is an attempt that was given up and may still take up its backend.
-type ghost struct {
+// abandonedAttempt is an attempt that the gateway has given up and its backend may still run.
+type abandonedAttempt struct {
 	sent, until float64
 	level       int
 	astray      bool
@@ -116,7 +116,7 @@
 	banned             bool  // by hand
 	levels             []int // own attempts in flight by level
 	inFlight           int
-	ghosts             []ghost
+	abandoned          []abandonedAttempt
 	missed             int     // attempts given up since the last answer
 	fail               float64 // share of recent failures
 	latency            float64 // 0: no answer yet
@@ -127,8 +127,8 @@
 }
 
 // live returns a request that is not over, or nil.
-func (g *Gateway) live(id RequestID) *job {
-	if j := g.jobs[id]; j != nil && !j.done {
+func (g *Gateway) live(id RequestID) *pendingRequest {
+	if j := g.requests[id]; j != nil && !j.done {
 		return j
 	}
 	return nil
@@ -164,13 +164,13 @@
 	gateways       int
 	index          int
 	terms          terms
-	seen, demand   float64 // units a second, here
-	open           int     // requests let in and not over, and further attempts
-	waiting        []*job  // highest level first
-	units, expires float64 // leased and not spent
-	leased         float64 // window of the last lease
-	idle           float64 // leased in this window, left over and not yet given back
-	window         float64 // number of the counter's window
+	seen, demand   float64           // units a second, here
+	open           int               // requests let in and not over, and further attempts
+	waiting        []*pendingRequest // highest level first
+	units, expires float64           // leased and not spent
+	leased         float64           // window of the last lease
+	idle           float64           // leased in this window, left over and not yet given back
+	window         float64           // number of the counter's window
 	name           uint64
 	known          float64 // the window's total as last seen
 	met            bool    // the counter has told of it
@@ -243,11 +243,11 @@
 // makeRoom allocates what the levels and the settings call for.
 func (g *Gateway) makeRoom(seed uint64) {
 	g.rng = rand.New(rand.NewPCG(seed, seed>>1))
-	g.jobs = map[RequestID]*job{}
+	g.requests = map[RequestID]*pendingRequest{}
 	g.servers = map[BackendID]*server{}
 	g.customers = map[CustomerID]*customer{}
 	g.calls = map[uint64][]call{}
-	g.queues = make([][]*job, len(g.worths))
+	g.queues = make([][]*pendingRequest, len(g.worths))
 	g.arrivals = make([]float64, len(g.worths))
 	g.arrived = make([]float64, len(g.worths))
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
@@ -279,14 +279,14 @@
 		level[l] = g.levelOf(w)
 	}
 	queues, arrivals, arrived := g.queues, g.arrivals, g.arrived
-	g.queues = make([][]*job, len(g.worths))
+	g.queues = make([][]*pendingRequest, len(g.worths))
 	g.arrivals, g.arrived = make([]float64, len(g.worths)), make([]float64, len(g.worths))
 	for l, to := range level {
 		g.queues[to] = append(g.queues[to], queues[l]...)
 		g.arrivals[to] += arrivals[l]
 		g.arrived[to] += arrived[l]
 	}
-	for _, j := range g.jobs {
+	for _, j := range g.requests {
 		j.level = level[j.level]
 	}
 	for _, s := range g.list {
@@ -295,8 +295,8 @@
 		for l, n := range levels {
 			s.levels[level[l]] += n
 		}
-		for i := range s.ghosts {
-			s.ghosts[i].level = level[s.ghosts[i].level]
+		for i := range s.abandoned {
+			s.abandoned[i].level = level[s.abandoned[i].level]
 		}
 	}
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
