--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -140,6 +140,17 @@
 		m := newModuleWith(unlimited(), n)
 		return micros(func() { m.mustServe(t) })
 	}},
+	{"decision_us_plans", "us of a decision among 7,407 backends by plans, three classes each", 0, []int{1, 3, 9, 27}, 0, func(t testing.TB, n int) float64 {
+		set := unlimited()
+		plan := set.Plans[0]
+		set.Plans = nil
+		for k := range n {
+			plan.Price = 1 + 0.01*float64(k)
+			set.Plans = append(set.Plans, plan)
+		}
+		m := newModuleWith(set, 7_407)
+		return micros(func() { m.mustServe(t) })
+	}},
 	{"housekeeping_us_backend", "us of a round of housekeeping by backends", 0, backendSizes, 0, func(t testing.TB, n int) float64 {
 		m := newModule(n)
 		return micros(func() { m.advance(0.05) })
