--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -12,7 +12,7 @@
 const (
 	wakesPerS       = 20         // answers to a watcher at most, registry's wakeGap
 	watchPerS       = 1.0 / 1.5  // watch calls without news, registry's watchWait
-	roundsPerS      = 20         // of housekeeping, rules' houseGap
+	roundsPerS      = 20         // of housekeeping, housekeepingInterval of the decision module
 	leaseLooksPerS  = 10         // registry's tickGap
 	readerListBytes = 64 << 20   // the longest list that a reader takes, registry's mostAnswer
 	toolAnswerBytes = 8 << 20    // the longest answer that the tool takes, mostGot
