--- a/internal/capacity/scoped.go
+++ b/internal/capacity/scoped.go
@@ -82,7 +82,7 @@
 		{"scoped rack", role, "a rack goes", "time until it is told, if all of it is in its scopes", seconds(s.At("scoped_answer_bytes_change", a(rackBackends))), "s", t.InForceSeconds, byTarget, "scoped_answer_bytes_change", "one answer for a burst", ""},
 		{"scoped zone", role, "a zone of its region goes, or comes back", "time until it is told within that budget", seconds(zone), "s", t.InForceSeconds, byTarget, "scoped_answer_bytes_change", "scopes, one answer for a burst", needsPace},
 		{"", role, "a region is back after an hour", "time for its whole list, as the history is too short at the peak", seconds(start), "s", t.InForceSeconds, byTarget, "scoped_list_bytes_instance", "scopes", needsHistory},
-		{"scoped drains", role, "80,000 restarts a day, a tenth by `drain`", "network for its answers, mean", drains * a(asksPerDrain) * s.At("view_bytes_backend", r.used), "B/s", t.GatewayBytesPerS, byTarget, "view_bytes_backend", "subsets", needsAsking},
+		{"scoped drains", role, "80,000 restarts a day, a tenth by `drain`", "network for its answers, mean", drains * a(asksPerDrain) * s.At("view_bytes_backend", askedBackends), "B/s", t.GatewayBytesPerS, byTarget, "view_bytes_backend", "it asks for one backend", ""},
 	}
 }
 
@@ -104,6 +104,6 @@
 		{"", role, "a zone goes, or comes back", "time to tell all readers by its network", zone / a(machineBytesPerS), "s", t.InForceSeconds, byTarget, "scoped_answer_bytes_change", "scopes, one answer for a burst", ""},
 		{"", role, "a region is back after an hour", "changes missed at the peak", l.changesPeak * a(cutSeconds), "changes", historyChanges, byProgram, "limits.history", "the whole list of the scopes instead", needsHistory},
 		{"", role, "all gateways of a region restart", "time of their lists by the network of its followers", lists / a(machineBytesPerS), "s", t.InForceSeconds, byTarget, "scoped_list_bytes_instance", "scopes", ""},
-		{"", role, "a new start of a follower", "bytes of the whole list that it copies", s.At("list_bytes_instance", t.Backends), "B", readerListBytes, byProgram, "list_bytes_instance", "a bound on answers", needsFollowers},
+		{"", role, "a new start of a follower", "bytes of the whole list that it copies", s.At("list_bytes_instance", t.Backends), "B", copiedListBytes, byProgram, "list_bytes_instance", "a bound on answers", needsFollowers},
 	}
 }
