Tests of the list service's processes share one way to run them

TestScopedReadersAreNotified had its own functions to start, kill and signal processes beside those of the tests of groups. Both use `processes` now, whose kill also finds a process that had ended before. The same tests are listed before and after.

--- a/cmd/registry/histories_test.go
+++ b/cmd/registry/histories_test.go
@@ -122,8 +122,6 @@
 			t.Errorf("seed %d: %v", seed, result)
 		}
 		t.Logf("seed %d: %d calls answered, %d in the history", seed, done.Load(), len(history))
-		for n := range m.cmds {
-			m.kill(n)
-		}
+		m.killAll()
 	}
 }
--- a/cmd/registry/members_test.go
+++ b/cmd/registry/members_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,7 +12,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"dunlintray/internal/group"
@@ -24,18 +22,16 @@
 
 // members are the processes of a group, with a relay on each link between two.
 type members struct {
-	t      *testing.T
-	dir    string
+	processes
 	at     []string // where callers reach each
 	lists  []string // and its list service
 	relays [][]*link.Relay
-	cmds   []*exec.Cmd
 }
 
 // newMembers starts them; the group may have the list too.
 func newMembers(t *testing.T, n int, withList bool) *members {
 	t.Helper()
-	m := &members{t: t, dir: t.TempDir(), cmds: make([]*exec.Cmd, n)}
+	m := &members{processes: newProcesses(t, n)}
 	lists := map[string]string{}
 	for k := range n {
 		m.at, m.lists = append(m.at, testnet.TCP(t)), append(m.lists, testnet.TCP(t))
@@ -66,11 +62,7 @@
 		m.write(from, config)
 		m.start(from)
 	}
-	t.Cleanup(func() {
-		for n := range m.cmds {
-			m.kill(n)
-		}
-	})
+	t.Cleanup(m.killAll)
 	return m
 }
 
@@ -94,17 +86,6 @@
 	return n
 }
 
-func (m *members) write(n int, config map[string]any) {
-	m.t.Helper()
-	text, err := json.Marshal(config)
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	if err := os.WriteFile(m.config(n), text, 0o600); err != nil {
-		m.t.Fatal(err)
-	}
-}
-
 func (m *members) folder(n int) string { return filepath.Join(m.dir, fmt.Sprint("ledger", n)) }
 
 // refuses waits until a member's process, started now, has ended and said why.
@@ -146,47 +127,6 @@
 	})
 }
 
-func (m *members) config(n int) string { return filepath.Join(m.dir, fmt.Sprint(n, ".json")) }
-
-func (m *members) start(n int) {
-	m.t.Helper()
-	cmd := exec.Command(os.Args[0], "--config", m.config(n), "--log-level", "error")
-	cmd.Env = append(os.Environ(), "REGISTRY_AS_COMMAND=1", "GORACE=halt_on_error=1")
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
-		m.t.Fatal(err)
-	}
-	m.cmds[n] = cmd
-}
-
-// kill ends a member, which must not have ended before.
-func (m *members) kill(n int) {
-	if m.cmds[n] == nil {
-		return
-	}
-	m.cmds[n].Process.Kill()
-	m.cmds[n].Wait()
-	if status, ok := m.cmds[n].ProcessState.Sys().(syscall.WaitStatus); !ok || !status.Signaled() {
-		m.t.Errorf("member %d had ended: %v", n+1, m.cmds[n].ProcessState)
-	}
-	m.cmds[n] = nil
-}
-
-// end tells a member to end, and waits until it has.
-func (m *members) end(n int) {
-	m.signal(n, syscall.SIGTERM)
-	if err := m.cmds[n].Wait(); err != nil {
-		m.t.Errorf("member %d ended with %v", n+1, err)
-	}
-	m.cmds[n] = nil
-}
-
-func (m *members) signal(n int, s syscall.Signal) {
-	if err := m.cmds[n].Process.Signal(s); err != nil {
-		m.t.Error(err)
-	}
-}
-
 // cut has nothing pass between one and all others, or everything again.
 func (m *members) cut(n int, kind link.Kind) {
 	for other := range m.at {
--- a/cmd/registry/membership_test.go
+++ b/cmd/registry/membership_test.go
@@ -171,12 +171,8 @@
 // A group of one takes a writer's list over, with its history and versions, and grows.
 func TestTakeOver(t *testing.T) {
 	t.Parallel()
-	m := &members{t: t, dir: t.TempDir(), at: []string{testnet.TCP(t)}, lists: []string{testnet.TCP(t)}, cmds: make([]*exec.Cmd, 1)}
-	t.Cleanup(func() {
-		for n := range m.cmds {
-			m.kill(n)
-		}
-	})
+	m := &members{processes: newProcesses(t, 1), at: []string{testnet.TCP(t)}, lists: []string{testnet.TCP(t)}}
+	t.Cleanup(m.killAll)
 	data := filepath.Join(m.dir, "list")
 	m.write(0, map[string]any{"listen": m.lists[0], "lease_ms": 3000, "data_dir": data}) // it is whole after a lease
 	m.start(0)
@@ -189,7 +185,7 @@
 		resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	}
-	follower := &members{t: t, dir: t.TempDir(), at: []string{testnet.TCP(t)}, lists: []string{testnet.TCP(t)}, cmds: make([]*exec.Cmd, 1)}
+	follower := &members{processes: newProcesses(t, 1), at: []string{testnet.TCP(t)}, lists: []string{testnet.TCP(t)}}
 	copied := filepath.Join(follower.dir, "list")
 	follower.write(0, map[string]any{"listen": follower.lists[0], "lease_ms": 3000, "data_dir": copied, "writer": m.lists[0]})
 	follower.start(0)
--- a/cmd/registry/scoped_test.go
+++ b/cmd/registry/scoped_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -81,11 +78,9 @@
 
 // scopedFleet is a writer, two followers and readers, with a relay on each link.
 type scopedFleet struct {
-	t         *testing.T
-	dir       string
+	processes        // the writer, then the followers
 	writer    string // its address
 	addresses []string
-	processes []*exec.Cmd   // the writer, then the followers
 	upstream  []*link.Relay // of each follower, to the writer
 	readers   []*scopedReader
 
@@ -103,18 +98,16 @@
 
 func newScopedFleet(t *testing.T) *scopedFleet {
 	t.Helper()
-	f := &scopedFleet{t: t, dir: t.TempDir(), writer: testnet.TCP(t), processes: make([]*exec.Cmd, 3), instances: map[string]registry.Instance{}}
-	t.Cleanup(func() {
-		for n := range f.processes {
-			f.kill(n)
-		}
-	})
+	f := &scopedFleet{processes: newProcesses(t, 3), writer: testnet.TCP(t), instances: map[string]registry.Instance{}}
+	t.Cleanup(f.killAll)
 	leaseMs := fleetLease.Milliseconds()
-	f.start(0, map[string]any{"listen": f.writer, "lease_ms": leaseMs, "data_dir": filepath.Join(f.dir, "writer")})
+	f.write(0, map[string]any{"listen": f.writer, "lease_ms": leaseMs, "data_dir": filepath.Join(f.dir, "writer")})
+	f.start(0)
 	for n := range 2 {
 		f.upstream = append(f.upstream, f.relay(f.writer))
 		f.addresses = append(f.addresses, testnet.TCP(t))
-		f.start(n+1, map[string]any{"listen": f.addresses[n], "writer": f.upstream[n].Address(), "lease_ms": leaseMs})
+		f.write(n+1, map[string]any{"listen": f.addresses[n], "writer": f.upstream[n].Address(), "lease_ms": leaseMs})
+		f.start(n + 1)
 	}
 	f.renewAll()
 	f.register("checkout", "north", "north-a", 6)
@@ -137,43 +130,6 @@
 	return r
 }
 
-// start runs a list service in a process of its own.
-func (f *scopedFleet) start(n int, config map[string]any) {
-	f.t.Helper()
-	path := filepath.Join(f.dir, fmt.Sprint(n, ".json"))
-	if config != nil {
-		text, err := json.Marshal(config)
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			f.t.Fatal(err)
-		}
-	}
-	cmd := exec.Command(os.Args[0], "--config", path, "--log-level", "warn")
-	cmd.Env = append(os.Environ(), "REGISTRY_AS_COMMAND=1", "GORACE=halt_on_error=1")
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	f.processes[n] = cmd
-}
-
-func (f *scopedFleet) kill(n int) {
-	if f.processes[n] == nil {
-		return
-	}
-	f.processes[n].Process.Kill()
-	f.processes[n].Wait()
-	f.processes[n] = nil
-}
-
-func (f *scopedFleet) signal(n int, s syscall.Signal) {
-	if err := f.processes[n].Process.Signal(s); err != nil {
-		f.t.Error(err)
-	}
-}
-
 // read starts a reader of scopes.
 func (f *scopedFleet) read(texts []string, seed uint64) {
 	f.t.Helper()
@@ -349,7 +305,7 @@
 		"follower killed": {begin: func(f *scopedFleet) { f.kill(1) }},
 		"follower killed and restarted empty": {begin: func(f *scopedFleet) {
 			f.kill(1)
-			f.start(1, nil)
+			f.start(1)
 		}},
 		"follower frozen":                        {begin: func(f *scopedFleet) { f.signal(1, syscall.SIGSTOP) }},
 		"follower hears nothing from the writer": {begin: func(f *scopedFleet) { f.set(f.upstream[0], link.Back, link.Stalled) }},
