Scale runs read their scenarios by the decoder of the emulator's

scale.Parse had the strict decoding of scenario.Parse once more, with its errors. scenario.Decode serves both; an error of a scale run's file now names the key beside the line, as the other's does.

--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"dunlintray/internal/scenario"
 )
 
@@ -139,22 +137,8 @@
 		return nil, fmt.Errorf("%s: %d bytes are no scenario", name, len(text))
 	}
 	s := Default()
-	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&s)
-	var unknown *toml.StrictMissingError
-	var wrong *toml.DecodeError
-	switch {
-	case errors.As(err, &unknown):
-		var all []error
-		for _, e := range unknown.Errors {
-			row, _ := e.Position()
-			all = append(all, fmt.Errorf("%s:%d: %s: no such key", name, row, strings.Join(e.Key(), ".")))
-		}
-		return nil, errors.Join(all...)
-	case errors.As(err, &wrong):
-		row, _ := wrong.Position()
-		return nil, fmt.Errorf("%s:%d: %w", name, row, wrong)
-	case err != nil:
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if err := scenario.Decode(name, text, &s); err != nil {
+		return nil, err
 	}
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -51,7 +51,23 @@
 			s.Plans = nil
 		}
 	}
-	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&s)
+	if err := Decode(name, text, &s); err != nil {
+		return nil, err
+	}
+	if problems := s.Check(); len(problems) > 0 {
+		at := lines(text)
+		var all []error
+		for _, p := range problems {
+			all = append(all, fmt.Errorf("%s:%d: %w", name, at.of(p.Key), p))
+		}
+		return nil, errors.Join(all...)
+	}
+	return &s, nil
+}
+
+// Decode reads a TOML text of known keys alone. Errors name the text and the line.
+func Decode(name string, text []byte, to any) error {
+	err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(to)
 	var unknown *toml.StrictMissingError
 	var wrong *toml.DecodeError
 	switch {
@@ -61,25 +77,17 @@
 			row, _ := e.Position()
 			all = append(all, fmt.Errorf("%s:%d: %s: no such key", name, row, strings.Join(e.Key(), ".")))
 		}
-		return nil, errors.Join(all...)
+		return errors.Join(all...)
 	case errors.As(err, &wrong):
 		row, _ := wrong.Position()
 		if key := strings.Join(wrong.Key(), "."); key != "" {
-			return nil, fmt.Errorf("%s:%d: %s: %w", name, row, key, wrong)
+			return fmt.Errorf("%s:%d: %s: %w", name, row, key, wrong)
 		}
-		return nil, fmt.Errorf("%s:%d: %w", name, row, wrong)
+		return fmt.Errorf("%s:%d: %w", name, row, wrong)
 	case err != nil:
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return fmt.Errorf("%s: %w", name, err)
 	}
-	if problems := s.Check(); len(problems) > 0 {
-		at := lines(text)
-		var all []error
-		for _, p := range problems {
-			all = append(all, fmt.Errorf("%s:%d: %w", name, at.of(p.Key), p))
-		}
-		return nil, errors.Join(all...)
-	}
-	return &s, nil
+	return nil
 }
 
 // places are the lines on which keys stand.
