--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"dunlintray/internal/wire"
+	"dunlintray/rules"
 )
 
 // classCounts are the final answers to the requests of one class.
@@ -79,6 +80,8 @@
 // owns the event, and read without a lock that requests wait for.
 type figures struct {
 	tries             atomic.Int64 // attempts written whole
+	retries           atomic.Int64 // attempts begun behind a request's first
+	rejected          [rules.ReasonCount]atomic.Int64
 	loads, loadErrors atomic.Int64 // configurations taken and turned down
 	inProgress        atomic.Int64 // requests taken and not ended
 	known, skipped    atomic.Int64 // backends
@@ -136,6 +139,10 @@
 		line("handled."+c.name+".bad_gateway", &c.badGateway, "c")
 	}
 	line("upstream_tries", &f.tries, "c")
+	line("retries", &f.retries, "c")
+	for reason := range f.rejected {
+		line("rejected."+rules.Reason(reason).String(), &f.rejected[reason], "c")
+	}
 	line("loads", &f.loads, "c")
 	line("load_errors", &f.loadErrors, "c")
 	line("in_progress", &f.inProgress, "g")
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -68,6 +68,7 @@
 	begun    bool    // its answer is on the way to the client
 	out      int     // attempts out
 	attempts []*attempt
+	reason   string // why it was rejected; empty: it was not
 }
 
 // abandon ends answers that nobody takes, as their handler has gone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -13,14 +12,9 @@
 )
 
 const (
-	reserved    = 64                      // descriptors for the counter, discovery, control and the runtime
-	clientShare = 0.55                    // of the other descriptors, for clients; backends get the rest
-	knownAfter  = 3 * time.Second         // without discovery, the list known from before has to do
-	stayFor     = 600 * time.Millisecond  // new connections still come so long after a stop was asked for
-	stayIdle    = 2200 * time.Millisecond // and so long a connection may stand idle then, where another process serves
-	leastHeld   = 3 * time.Second         // a stop has at least this time
-	stopMargin  = 500 * time.Millisecond  // for the last answers after the longest deadline
-	answerTime  = 100 * time.Millisecond  // of that, for their way to the client
+	reserved    = 64              // descriptors for the counter, discovery, control and the runtime
+	clientShare = 0.55            // of the other descriptors, for clients; backends get the rest
+	knownAfter  = 3 * time.Second // without discovery, the list known from before has to do
 )
 
 // Run serves clients until ctx ends, then answers what it holds and returns.
@@ -203,42 +197,4 @@
 	return clients, sockets - clients
 }
 
-// shutdown takes what still comes for a while, answers what is held, and ends.
-//
-// Danger: a request may cross the closing of its idle connection. Without a
-// process to take over, its client sends it again on a new connection, so idle
-// connections go at once, while new ones are still taken, and the listener goes
-// later. With one, new connections are its own, and those that stand here go
-// after their next answer, or once nothing has come on them for longer than
-// clients keep still.
-func shutdown(front *frontend, server *http.Server, pair *handover) error {
-	most := max(longest(front), leastHeld)
-	ctx, cancel := context.WithTimeout(context.Background(), most+stopMargin)
-	defer cancel()
-	front.loop.post(told{rules.Leave{Until: front.loop.clock.now() + (most + stopMargin - answerTime).Seconds()}})
-	front.leaving.Store(true)
-	if pair.leave() {
-		front.clients.Close()
-		time.Sleep(stayIdle)
-	} else {
-		front.clients.leave(leavesIdle)
-		time.Sleep(stayFor)
-		front.clients.Close()
-	}
-	front.clients.leave(leavesNew)
-	err := front.clients.drained(ctx)
-	server.Close()
-	return err
-}
-
-// longest is how long a request may be held.
-func longest(front *frontend) time.Duration {
-	s := front.service.Load()
-	most := 0.0
-	for _, class := range s.Classes {
-		most = max(most, class.Deadline)
-	}
-	return seconds(most + s.AnswerSlack)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -431,9 +431,9 @@
 		case rules.Cancel:
 			l.cancel(a)
 		case rules.Refuse:
-			l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
+			l.reject(a.Request, a.Reason, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
 		case rules.Fail:
-			l.answer(a.Request, answer{status: http.StatusBadGateway})
+			l.reject(a.Request, a.Reason, answer{status: http.StatusBadGateway})
 		case rules.SetTimer:
 			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
@@ -490,6 +490,9 @@
 		l.endAttempt(a, result{outcome: rules.Moot})
 		return
 	}
+	if a.number > 0 {
+		l.figures.retries.Add(1)
+	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if !x.ask.Open {
 		l.timers.add(timerEntry{at: a.deadline, attempt: a})
@@ -547,6 +550,15 @@
 	l.endAttempt(a, result{outcome: outcome})
 }
 
+// reject gives a request its final answer where no backend made one.
+func (l *Loop) reject(id rules.RequestID, why rules.Reason, a answer) {
+	if x := l.live[id]; x != nil && x.open {
+		x.reason = why.String()
+		l.figures.rejected[why].Add(1)
+	}
+	l.answer(id, a)
+}
+
 // answer gives a request its final answer, if it has none.
 func (l *Loop) answer(id rules.RequestID, a answer) {
 	x := l.live[id]
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -67,7 +67,7 @@
 	slog.Info(what, "id", x.header.Get(idHeader), "class", x.counts.name,
 		"plan", x.plan, "customer", uint64(x.ask.Customer), "units", x.ask.Units,
 		"repeat", x.ask.Repeat, "left", round(x.ask.Deadline-x.ask.Sent), "queued", round(x.queued),
-		"took", round(now-x.ask.Sent), "attempts", attempts.String())
+		"took", round(now-x.ask.Sent), "reason", x.reason, "attempts", attempts.String())
 }
 
 // lagged notes how late a timer came, and writes at most once a second how late
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -5,7 +5,7 @@
 //
 // A request passes these steps: its customer's lease pays for it (admit), it waits in the queue of its
 // level (enqueue), the bound lets it go (dispatch), a backend is picked (pick), and one function sends
-// (send) and one answers (giveBack), which hold the rules that no other step may bypass.
+// (send) and one answers (reject), which hold the rules that no other step may bypass.
 
 import (
 	"cmp"
@@ -82,7 +82,7 @@
 	askRest              = 1.0  // seconds until discovery is asked again after it failed, half to twice that
 	askMost              = 1.8  // if it fails again: a longer wait would delay the list once it is back
 	housekeepingInterval = 0.05 // seconds between rounds of housekeeping
-	tellGap              = 1.0  // seconds between lines about requests that were given back
+	tellGap              = 1.0  // seconds between lines about requests that were rejected
 	idleDrop             = 60.0 // seconds after which a customer is forgotten
 )
 
@@ -173,7 +173,7 @@
 	who := g.customerOf(r)
 	j.customer = who
 	if j.giveUp < g.now+g.latency/2 {
-		g.giveBack(j, tooLate)
+		g.reject(j, RejectedTooLate)
 		return
 	}
 	at := len(who.waiting)
@@ -239,11 +239,11 @@
 	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
 		switch {
 		case len(j.attempts) > 0:
-			g.giveBack(j, noAnswer)
+			g.reject(j, RejectedNoAnswer)
 		case j.paid:
-			g.giveBack(j, heldOut)
+			g.reject(j, RejectedHeldOut)
 		default:
-			g.giveBack(j, noLease)
+			g.reject(j, RejectedNoLease)
 		}
 	}
 }
@@ -258,7 +258,7 @@
 		higher += g.arrivals[l]
 	}
 	if g.full(j.level) && ahead*x >= (j.giveUp-g.now-g.latency)*max(1-x*higher, 0) {
-		g.giveBack(j, noRoom)
+		g.reject(j, RejectedNoRoom)
 		return
 	}
 	g.queues[j.level] = append(g.queues[j.level], j)
@@ -500,7 +500,7 @@
 		g.close(j)
 	case j.out > 0: // another attempt may still answer
 	case !g.again(j):
-		g.giveBack(j, noRetry)
+		g.reject(j, RejectedNoRetry)
 	}
 	if j.done && j.out == 0 {
 		delete(g.requests, j.ID)
@@ -561,19 +561,19 @@
 	}
 }
 
-// giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
+// reject ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
-func (g *Gateway) giveBack(j *pendingRequest, why reason) {
-	g.given[why]++
+func (g *Gateway) reject(j *pendingRequest, why Reason) {
+	g.rejected[why]++
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		// Clients that follow it come back when there may be room, and not before.
 		advice := g.set.MaxAdvice
 		if !j.paid {
 			advice = min(advice, max(j.customer.dryUntil-g.now, j.customer.restTill-g.now, 0))
 		}
-		g.do(Refuse{Request: j.ID, RetryAfter: advice})
+		g.do(Refuse{Request: j.ID, RetryAfter: advice, Reason: why})
 	} else {
-		g.do(Fail{Request: j.ID})
+		g.do(Fail{Request: j.ID, Reason: why})
 	}
 	g.close(j)
 }
@@ -846,20 +846,20 @@
 	g.roster = keep
 }
 
-// tell writes, at most once in tellGap, why requests were given back, and the state that led to it.
+// tell writes, at most once in tellGap, why requests were rejected, and the state that led to it.
 func (g *Gateway) tell() {
-	if g.given == [reasons]int{} || g.now-g.toldAt < tellGap {
+	if g.rejected == [ReasonCount]int{} || g.now-g.toldAt < tellGap {
 		return
 	}
-	line := fmt.Sprintf("given back: bound=%.1f in_flight=%d ghosts=%d latency=%.3f pressure=%.2f crowd=%.2f",
+	line := fmt.Sprintf("rejected: bound=%.1f in_flight=%d ghosts=%d latency=%.3f pressure=%.2f crowd=%.2f",
 		g.bound, g.inFlight, g.abandoned(), g.latency, g.pressure, g.crowd)
-	for why, n := range g.given {
+	for why, n := range g.rejected {
 		if n > 0 {
-			line += fmt.Sprintf(" %s=%d", reasonNames[why], n)
+			line += fmt.Sprintf(" %s=%d", Reason(why), n)
 		}
 	}
 	g.do(Log{Text: line})
-	g.given, g.toldAt = [reasons]int{}, g.now
+	g.rejected, g.toldAt = [ReasonCount]int{}, g.now
 }
 
 // terms works out what a plan comes to for a customer of so many gateways.
@@ -974,14 +974,14 @@
 			case c.asking > 0:
 				return
 			case g.now < c.dryUntil:
-				g.giveBack(j, overQuota)
+				g.reject(j, RejectedOverQuota)
 				continue
 			case !g.set.Counter || g.now < c.restTill:
 				if !c.takeLocal(g.now, j.Units) {
 					if g.set.Counter && (c.terms.few || g.leftOut() < heldMost) && c.restTill+g.latency < j.giveUp {
 						return // held: a crowded counter may have room in a moment
 					}
-					g.giveBack(j, noCounter)
+					g.reject(j, RejectedNoCounter)
 					continue
 				}
 				c.owed += j.Units
--- a/rules/state.go
+++ b/rules/state.go
@@ -43,29 +43,11 @@
 	lastHousekeeping  float64
 	askRest           float64 // pause after discovery failed
 	patience          []patience
-	arrivals, arrived []float64    // by level: a second, and since lastHousekeeping
-	given             [reasons]int // requests given back since toldAt
+	arrivals, arrived []float64        // by level: a second, and since lastHousekeeping
+	rejected          [ReasonCount]int // requests rejected since toldAt
 	toldAt            float64
 }
 
-// reason says why a request was given back.
-type reason int
-
-const (
-	tooLate   reason = iota // no time left when it came
-	overQuota               // the counter has no units for its customer
-	noCounter               // the counter is silent and the local share spent
-	noLease                 // the counter's answer came too late
-	noRoom                  // the bound is full and the wait would be too long
-	heldOut                 // it waited for the bound for all of its time
-	noRetry                 // its attempt failed and there was none further
-	noAnswer                // its attempt took all of its time
-	reasons
-)
-
-var reasonNames = [reasons]string{"too_late", "over_quota", "no_counter", "no_lease", "no_room", "held_out",
-	"no_retry", "no_answer"}
-
 // abandoned returns the number of abandoned attempts that still count as work in flight.
 func (g *Gateway) abandoned() (n int) {
 	for _, s := range g.list {
--- a/rules/types.go
+++ b/rules/types.go
@@ -366,10 +366,14 @@
 type Refuse struct {
 	Request    RequestID
 	RetryAfter float64
+	Reason     Reason
 }
 
 // Fail is a final answer with no promise about the effect.
-type Fail struct{ Request RequestID }
+type Fail struct {
+	Request RequestID
+	Reason  Reason
+}
 
 // SetTimer asks for a Timer event. With a Request it may be left out once that
 // request is over and none of its attempts is out.
