--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -114,6 +114,71 @@
 	}
 }
 
+// crossingConn calls a function between a read from its peer and the return of what was read.
+type crossingConn struct {
+	net.Conn
+	crosses func()
+}
+
+func (c *crossingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.crosses != nil {
+		c.crosses()
+		c.crosses = nil
+	}
+	return n, err
+}
+
+// What users saw: a request on a connection that the gateway closed in that moment got
+// neither an answer nor the reset by which clients know that it was not read.
+//
+// Order of events: the server's read returns the first bytes of a request; the connection is
+// given up, for the stop or for another; the bytes are dropped and the socket is closed.
+//
+// Cause: the look at whether a connection rests and its close were one step, but not with the
+// read before it. Evidence: forced here for each way to give up a connection.
+func TestReadCrossesGivingUp(t *testing.T) {
+	t.Parallel()
+	for name, giveUp := range map[string]func(l *clients){
+		"at the stop":      func(l *clients) { l.leave(leavesNew) },
+		"for a new limit":  func(l *clients) { l.limit(0) },
+		"for a new client": func(l *clients) { l.take(new(net.TCPConn)) },
+	} {
+		for _, served := range []bool{false, true} {
+			l := newClients(newPipes(), 1)
+			near, far := net.Pipe()
+			conn := &crossingConn{Conn: near}
+			c := l.take(conn)
+			answer := make(chan string, 1)
+			go func() {
+				if served {
+					io.WriteString(far, ask("GET", "lookup", ""))
+				}
+				io.WriteString(far, ask("GET", "lookup", ""))
+				far.SetDeadline(time.Now().Add(patience))
+				got, _ := io.ReadAll(far)
+				answer <- string(got)
+			}()
+			if served {
+				c.Read(make([]byte, 4096))
+				l.connState(c, http.StateActive)
+				l.connState(c, http.StateIdle)
+			} else {
+				l.began = l.began.Add(-connlimit.Grace) // it may be given up for another
+			}
+			conn.crosses = func() { giveUp(l) }
+			if n, err := c.Read(make([]byte, 4096)); n != 0 || err == nil {
+				t.Errorf("%s, served %t: %d bytes go on, %v", name, served, n, err)
+			}
+			c.Close()
+			if got := wait(t, answer, "end"); got != turnedAwayText {
+				t.Errorf("%s, served %t: a request that was read got %q", name, served, got)
+			}
+			far.Close()
+		}
+	}
+}
+
 // A head that took too long may be whole in the moment in which its connection is
 // given up for another. Its request must not run for nobody.
 func TestGivenUpCrossesHead(t *testing.T) {
