A connection that is given up answers what it has read

Cause: the look at whether a connection rests and its close were one step, but not with the read before it (clients.giveUp, clientConn.Read): bytes of a request that were read in that moment were dropped, and the client saw a plain close, as of a request that ran. The same for a head that is given up for its time.

Change: one that rests is closed by its reader, which is interrupted and alone knows whether a byte has come; whoever has read bytes answers 503. A connection with unread bytes is not idle and is served.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	deadline time.Time     // that net/http has set
 	running  chan struct{} // closed when the goroutine has ended; nil: there is none
+	stopped  bool          // nothing more is read from the connection
 
 	held []byte // not yet read by net/http
 	err  error  // behind what is held
@@ -62,7 +63,7 @@
 func (a *aheadReader) begin() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.running != nil || a.err != nil {
+	if a.running != nil || a.err != nil || a.stopped {
 		return
 	}
 	a.running = make(chan struct{})
@@ -97,7 +98,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running = nil
-	a.Conn.SetReadDeadline(a.deadline)
+	if !a.stopped {
+		a.Conn.SetReadDeadline(a.deadline)
+	}
+}
+
+// interrupt ends the read that is under way, if nothing has come, and every later one. What
+// has been read before is still returned.
+func (a *aheadReader) interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopped = true
+	a.Conn.SetReadDeadline(time.Now().Add(-time.Second))
 }
 
 // SetReadDeadline is for net/http's own reads.
@@ -105,7 +117,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.deadline = t
-	if a.running != nil {
+	if a.running != nil || a.stopped {
 		return nil
 	}
 	return a.Conn.SetReadDeadline(t)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -23,17 +25,29 @@
 	mostPause    = time.Second           // it doubles to this
 	crowdTellGap = time.Second           // between lines about a crowd, or about descriptors
 	refusalWait  = 20 * time.Millisecond // for the word to one that is turned away
+	rejectWait   = 200 * time.Millisecond
 
 	// A client whose connection ends behind its answer has so long to end its side,
 	// and may send so many bytes more, which nobody reads.
 	lingerTime = 500 * time.Millisecond
 	lingerMost = 256 << 10
+
+	// One that was rejected in the middle of a request lingers for a shorter time, and so
+	// many at once: the table does not count them any more.
+	rejectedLingerTime = 100 * time.Millisecond
+	rejectedLingerMost = 32
+
+	queueWait = 10 * time.Millisecond  // for the next connection of a queue that is emptied
+	queueMost = 100 * time.Millisecond // for all of them
 )
 
 // A connection that is turned away is told so, as far as it listens: nothing of
 // it has been read.
 const turnedAwayText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// What a client is told whose request may have gone on to a backend.
+const cutOffText = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // closeCauses are why the gateway's side closed a connection, or that it did not.
 const (
 	closedByPeer   = iota // or after an answer, or a time-out of the server's
@@ -57,8 +71,12 @@
 	table  *connlimit.Table
 	conns  map[*connlimit.Conn]*clientConn
 	closed bool
+	last   bool // what is in the queue is accepted, and nothing behind it
 	ends   ending
-	tells  lineLimit
+	shared bool // other processes accept from the same queue
+
+	lingering int // connections that wait for their end behind a rejection
+	tells     lineLimit
 
 	onState func(*clientConn, http.ConnState) // for tests, before a state is taken note of
 
@@ -67,6 +85,7 @@
 	unset    atomic.Int64 // connections on which no limit on silence could be set
 	waited   atomic.Int64 // milliseconds that the last connection stood in the queue, where the system tells
 	starved  atomic.Int64 // times that no descriptor was to be had
+	rejected atomic.Int64 // connections that were given up and had to be answered
 }
 
 // ending is how far a stop has come.
@@ -96,21 +115,25 @@
 	}
 	l.room.Broadcast()
 	l.mu.Unlock()
-	for _, c := range gone {
-		c.Close()
-	}
+	endAll(gone)
 }
 
-// giveUp marks a connection that is given up. From here on no byte of it reaches
-// the server, and a request that has been read goes no further.
+// giveUp marks a connection that is given up and frees its place. Its end has to follow,
+// outside the lock.
 func (l *clients) giveUp(c *connlimit.Conn, cause int) *clientConn {
 	conn := l.conns[c]
-	delete(l.conns, c)
 	l.table.Close(c)
 	conn.givenUp, conn.cause = true, cause
 	return conn
 }
 
+// endAll ends connections that were given up.
+func endAll(gone []*clientConn) {
+	for _, c := range gone {
+		c.endGivenUp()
+	}
+}
+
 // causeOf is why a connection is given up for another.
 func causeOf(c *connlimit.Conn) int {
 	if c.State() == connlimit.New {
@@ -120,25 +143,47 @@
 }
 
 // leave gives up what has no request, now and from now on. What is in a request,
-// or in the head of one, goes on to its answer.
+// or in the head of one, goes on to its answer, and so does one whose first bytes wait
+// to be read.
 //
-// Danger: net/http closes what it takes for idle though the head of a request has
-// been read in part or whole. Its request would be sent on, and its answer lost.
-// Here the look at the state and the end are one step, beside which no byte is
-// read.
+// net/http would close what it takes for idle though the head of a request has been
+// read in part or whole, and its answer would be lost. Here a connection is given up in
+// one step with the look at its state, and whoever reads beside it owes an answer for
+// the bytes.
 func (l *clients) leave(how ending) {
 	l.mu.Lock()
 	l.ends = how
 	var gone []*clientConn
 	for place, c := range l.conns {
-		if l.goes(place) && !c.lingers {
+		if !c.givenUp && !c.lingers && l.goes(place) && !unreadBytes(c.Conn) {
 			gone = append(gone, l.giveUp(place, closedStop))
 		}
 	}
 	l.mu.Unlock()
-	for _, c := range gone {
-		c.Close()
+	endAll(gone)
+}
+
+// finish ends every request that has no answer with an error, since the process is about to
+// be killed, and cuts answers short whose end their client can't tell otherwise. It returns
+// how many of each there were.
+func (l *clients) finish() (answered, cut int) {
+	l.mu.Lock()
+	var gone []*clientConn
+	for place, c := range l.conns {
+		if !c.givenUp && !c.lingers {
+			busy := place.State() == connlimit.Busy
+			c = l.giveUp(place, closedStop)
+			if c.busy = busy; c.answered.Load() {
+				cut++
+			} else {
+				answered++
+			}
+			gone = append(gone, c)
+		}
 	}
+	l.mu.Unlock()
+	endAll(gone)
+	return answered, cut
 }
 
 // goes tells whether a connection goes at this point of a stop.
@@ -182,6 +227,8 @@
 		}
 		c, err := l.Listener.Accept()
 		switch {
+		case err != nil && l.queueEnded(err):
+			return nil, net.ErrClosed
 		case noDescriptor(err):
 			l.starved.Add(1)
 			if l.tells.allow() {
@@ -194,6 +241,7 @@
 			return nil, err
 		}
 		pause = leastPause
+		l.extendQueue()
 		l.accepted.Add(1)
 		if conn := l.take(c); conn != nil {
 			// Who has a connection goes before who wants one.
@@ -203,6 +251,50 @@
 	}
 }
 
+// endQueue takes the connections that already wait in the listener's queue, and ends
+// accepting. Their requests may have been taken by this machine; closing the listener over
+// them would reset them. A queue that other processes have too is left to those.
+func (l *clients) endQueue() {
+	listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || l.shared {
+		l.Close()
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = true
+	l.room.Broadcast()
+	listener.SetDeadline(time.Now().Add(queueWait))
+	for began := l.now(); !l.closed && l.now()-began < queueMost; {
+		l.wait(queueMost)
+	}
+	if !l.closed {
+		l.closed = true
+		l.Listener.Close()
+	}
+}
+
+// extendQueue leaves time for the next connection of a queue that is emptied.
+func (l *clients) extendQueue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.last && !l.closed {
+		listener.SetDeadline(time.Now().Add(queueWait))
+	}
+}
+
+// queueEnded reports whether an error of Accept says that the last connection of the queue
+// has been taken. It closes the listener then.
+func (l *clients) queueEnded(err error) bool {
+	l.mu.Lock()
+	ended := l.last && errors.Is(err, os.ErrDeadlineExceeded)
+	l.mu.Unlock()
+	if ended {
+		l.Close()
+	}
+	return ended
+}
+
 // sleep waits, or until the listener is closed.
 func (l *clients) sleep(d time.Duration) {
 	l.mu.Lock()
@@ -225,7 +317,7 @@
 	defer l.mu.Unlock()
 	for !l.closed {
 		ok, look := l.table.Room(l.now())
-		if ok {
+		if ok || l.last {
 			return true
 		}
 		l.tellCrowd()
@@ -276,10 +368,11 @@
 		if place != nil {
 			l.table.Close(place)
 		}
-		if over || l.closed {
+		if over || l.closed || l.last {
 			conn.cause = closedTurnAway
+			stops := l.closed || l.last
 			l.mu.Unlock()
-			conn.turnAway()
+			conn.turnAway(stops)
 			return nil
 		}
 		// What had room for it is in a request by now.
@@ -288,7 +381,7 @@
 	}
 	l.mu.Unlock()
 	if victim != nil {
-		victim.Close()
+		victim.endGivenUp()
 	}
 	l.limitSilence(c) // not before: one that is turned away has to be cheap
 	return conn
@@ -352,6 +445,6 @@
 	for cause, name := range closeCauseNames {
 		fmt.Fprintf(w, "app.clients.closed.%s:%d|c\n", name, l.ended[cause].Load())
 	}
-	fmt.Fprintf(w, "app.clients.wait_ms:%d|g\napp.clients.no_descriptor:%d|c\napp.clients.silence_unlimited:%d|c\n",
-		l.waited.Load(), l.starved.Load(), l.unset.Load())
+	fmt.Fprintf(w, "app.clients.wait_ms:%d|g\napp.clients.no_descriptor:%d|c\napp.clients.silence_unlimited:%d|c\napp.clients.rejected:%d|c\n",
+		l.waited.Load(), l.starved.Load(), l.unset.Load(), l.rejected.Load())
 }
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -92,3 +92,22 @@
 	})
 	return err == nil && quiet
 }
+
+// unreadBytes reports whether bytes have come on a connection that nobody has read yet. It
+// may be called beside a read.
+func unreadBytes(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		unread, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return unread > 0
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -108,6 +108,9 @@
 type frontend struct {
 	loop    *Loop
 	service atomic.Pointer[service]
+
+	longestDeadline atomic.Int64 // of a class, nanoseconds: the shortest of all settings so far
+
 	ready   atomic.Bool
 	leaving atomic.Bool // connections are closed after their answer
 	clients *clients
@@ -166,7 +169,11 @@
 	control := http.NewResponseController(w)
 	defer requestOver(r)
 	c := connOf(r)
-	if c != nil && (c.dropped() || c.gone()) {
+	if c != nil && c.dropped() {
+		c.reject(turnedAwayText) // the request has been read
+		panic(http.ErrAbortHandler)
+	}
+	if c != nil && c.gone() {
 		panic(http.ErrAbortHandler)
 	}
 	if c != nil && c.doubt() {
@@ -225,6 +232,9 @@
 				w.Header().Set("Connection", "close")
 			}
 			control.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if c != nil && !r.ProtoAtLeast(1, 1) {
+				c.untold.Store(true)
+			}
 			err := f.write(a, x.header.Get(idHeader), w, control)
 			if x.upload != nil {
 				x.upload.close(control)
