--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -251,5 +251,20 @@
 	}
 }
 
+// How long a platform leaves a process after SIGTERM.
+const (
+	countedDeadline = 3 * time.Second // a longest deadline of a class above it counts as this
+	killGrace       = 700 * time.Millisecond
+)
+
+// KillAfter returns the time from SIGTERM to the earliest SIGKILL.
+func (s *Scenario) KillAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	return min(longest, countedDeadline) + killGrace
+}
+
 // KindNames are the names of the kinds of faults, in order.
 func KindNames() []string { return slices.Sorted(maps.Keys(Kinds)) }
