At a stop, requests that were read behind the one under way are answered

Cause: the answer under way said that the connection closes, though more requests had been read with it; they were dropped and got no answer. Change: the close is named behind the last that was read.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,8 +27,9 @@
 	running  chan struct{} // closed when the goroutine has ended; nil: there is none
 	stopped  bool          // nothing more is read from the connection
 
-	held []byte // not yet read by net/http
-	err  error  // behind what is held
+	held    []byte       // not yet read by net/http
+	err     error        // behind what is held
+	waiting atomic.Int64 // bytes that are held, for whoever asks beside the goroutine
 }
 
 func newAheadReader(c net.Conn) *aheadReader {
@@ -41,6 +43,7 @@
 		if a.held = a.held[n:]; len(a.held) == 0 {
 			a.held = nil
 		}
+		a.waiting.Store(int64(len(a.held)))
 		return n, nil
 	}
 	if a.err != nil {
@@ -77,6 +80,7 @@
 	for len(a.held) < aheadMost {
 		n, err := a.Conn.Read(piece[:min(len(piece), aheadMost-len(a.held))])
 		a.held = append(a.held, piece[:n]...)
+		a.waiting.Store(int64(len(a.held)))
 		if err != nil {
 			a.ended(err)
 			return
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -193,6 +193,10 @@
 	return c.read.heads == c.heads && c.read.between()
 }
 
+// pipelined reports whether bytes of a next request have been read, beside the one that is
+// under way.
+func (c *clientConn) pipelined() bool { return c.ahead.waiting.Load() > 0 || !c.between() }
+
 func (c *clientConn) doubt() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -184,6 +184,35 @@
 	}
 }
 
+// What was read behind the request under way when the stop came is answered too: the close
+// comes behind the last.
+func TestStopAnswersPipelinedRequests(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn := r.send(t, ask("POST", "booking", "first")+ask("POST", "booking", "second", keyHeader, "k2")+ask("GET", "lookup", ""))
+	to, br := backend.accept(t)
+	readRequest(t, br)
+	r.tells(t, "app.clients.busy:1|g")
+	r.stop()
+	r.until(t, http.StatusServiceUnavailable)
+	from := bufio.NewReader(conn)
+	for n := range 3 {
+		if n > 0 {
+			to, br = backend.accept(t)
+			readRequest(t, br)
+		}
+		io.WriteString(to, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(from, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		if resp.StatusCode != http.StatusOK || resp.Close != (n == 2) {
+			t.Errorf("request %d: status %d, closes %t", n, resp.StatusCode, resp.Close)
+		}
+	}
+}
+
 // A head that took too long may be whole in the moment in which its connection is
 // given up for another. Its request must not run for nobody, and as it has been read, its
 // client is told so.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -228,7 +228,8 @@
 				}
 				continue
 			}
-			if f.leaving.Load() || !x.upload.over() || c != nil && c.ahead.full() {
+			w.Header().Del("Connection")
+			if f.leaving.Load() && (c == nil || !c.pipelined()) || !x.upload.over() || c != nil && c.ahead.full() {
 				w.Header().Set("Connection", "close")
 			}
 			control.SetWriteDeadline(time.Now().Add(writeTimeout))
