--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlintray/rules"
+)
+
+// All times of a stop are in order and before the earliest kill, whatever the longest
+// deadline of a class is.
+func TestStopSchedule(t *testing.T) {
+	for _, longest := range []time.Duration{time.Millisecond, 300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond,
+		3 * time.Second, 7500 * time.Millisecond, time.Hour} {
+		kill := min(longest, 3*time.Second) + 700*time.Millisecond
+		s := newStopSchedule(longest)
+		if s.closeIdle >= s.answers || s.closeListener > s.answers || s.answers >= s.finish || s.finish >= s.exit || s.exit >= kill {
+			t.Errorf("longest deadline %v: %+v, kill at %v", longest, s, kill)
+		}
+		if s.closeIdle <= 0 || s.closeListener < 300*time.Millisecond {
+			t.Errorf("longest deadline %v: %+v leaves no time for what still comes", longest, s)
+		}
+	}
+}
+
+// Of all settings that a process has had, those with the nearest end count for a stop.
+func TestStopCountsTheNearestEnd(t *testing.T) {
+	f := &frontend{}
+	for n, c := range []struct{ deadline, want float64 }{{2, 2}, {7, 2}, {1, 1}, {3, 1}} {
+		s := &service{}
+		s.Classes = []rules.Class{{Deadline: c.deadline}, {Deadline: c.deadline / 2}}
+		f.use(s)
+		if got := time.Duration(f.longestDeadline.Load()); got != seconds(c.want) {
+			t.Errorf("settings %d: %v, want %v s", n, got, c.want)
+		}
+	}
+}
+
+// Connections that stand in the queue of a listener when it closes are taken: their clients
+// may have written requests that this machine has acknowledged.
+func TestStopTakesTheQueue(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(inner, 8)
+	const queued = 20 // more than there are places
+	answers := make(chan string, queued)
+	for range queued {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, ask("GET", "lookup", ""))
+		go func() {
+			c.SetDeadline(time.Now().Add(patience))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			answers <- resp.Status
+		}()
+	}
+	server := &http.Server{ConnState: l.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond) // so that places are wanted
+	})}
+	defer server.Close()
+	ended := make(chan error, 1)
+	go func() { // accepting begins with the stop
+		l.mu.Lock()
+		l.last = true
+		l.mu.Unlock()
+		ended <- server.Serve(l)
+	}()
+	l.endQueue()
+	wait(t, ended, "end of accepting")
+	for range queued {
+		if got := wait(t, answers, "answer"); !strings.HasPrefix(got, "200") && !strings.HasPrefix(got, "503") {
+			t.Errorf("a connection of the queue: %s", got)
+		}
+	}
+	if c, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is still open")
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -122,3 +122,20 @@
 		}
 	}
 }
+
+// A longest deadline counts as 3 s at most for the platform's kill.
+func TestKillAfter(t *testing.T) {
+	for deadline, want := range map[time.Duration]time.Duration{
+		800 * time.Millisecond: 1500 * time.Millisecond,
+		3 * time.Second:        3700 * time.Millisecond,
+		7 * time.Second:        3700 * time.Millisecond,
+	} {
+		s := Default()
+		for i := range s.Classes {
+			s.Classes[i].Deadline = Duration(deadline / time.Duration(i+1))
+		}
+		if got := s.KillAfter(); got != want {
+			t.Errorf("longest deadline %v: %v, want %v", deadline, got, want)
+		}
+	}
+}
