At the end of a stop, answers that are under way go on until the exit

Cause: what had no answer and what was being answered ended in the same step, 200 ms before the kill, which cut answers that would have come whole. Change: finish ends what has no answer, cut the rest 50 ms before the kill, with a reset where a client could take a part for the whole. Measured: TestStopEndsWhatIsIncomplete (a head, a body, an answer without a length), race tests of the package pass.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -164,26 +164,28 @@
 }
 
 // finish ends every request that has no answer with an error, since the process is about to
-// be killed, and cuts answers short whose end their client can't tell otherwise. It returns
-// how many of each there were.
-func (l *clients) finish() (answered, cut int) {
+// be killed. Answers that are under way go on. It returns how many it ended.
+func (l *clients) finish() int {
+	return l.endWhere(func(c *clientConn) bool { return !c.answered.Load() })
+}
+
+// cut ends all that is left: an answer whose client could take a part for the whole with a
+// reset. It returns how many it ended.
+func (l *clients) cut() int { return l.endWhere(func(*clientConn) bool { return true }) }
+
+// endWhere gives up the connections that are chosen, whatever they are doing.
+func (l *clients) endWhere(chosen func(*clientConn) bool) int {
 	l.mu.Lock()
 	var gone []*clientConn
 	for place, c := range l.conns {
-		if !c.givenUp && !c.lingers {
-			busy := place.State() == connlimit.Busy
-			c = l.giveUp(place, closedStop)
-			if c.busy = busy; c.answered.Load() {
-				cut++
-			} else {
-				answered++
-			}
-			gone = append(gone, c)
+		if !c.givenUp && !c.lingers && chosen(c) {
+			c.busy = place.State() == connlimit.Busy
+			gone = append(gone, l.giveUp(place, closedStop))
 		}
 	}
 	l.mu.Unlock()
 	endAll(gone)
-	return answered, cut
+	return len(gone)
 }
 
 // goes tells whether a connection goes at this point of a stop.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -22,7 +22,7 @@
 const (
 	answersBefore = 350 * time.Millisecond // every request has its answer from the module
 	finishBefore  = 200 * time.Millisecond // what has none still gets an error, and is closed
-	exitBefore    = 50 * time.Millisecond  // nothing is waited for any more
+	exitBefore    = 50 * time.Millisecond  // answers that are under way are cut, and nothing is waited for
 )
 
 const (
@@ -90,10 +90,12 @@
 	front.clients.leave(leavesNew)
 	err := s.drain(func(t stopSchedule) time.Duration { return t.finish })
 	if err != nil {
-		answered, cut := front.clients.finish()
-		s.log("stop: requests without an answer are ended", "answered", answered, "cut", cut)
+		s.log("stop: requests without an answer are ended", "requests", front.clients.finish())
 		err = s.drain(func(t stopSchedule) time.Duration { return t.exit })
 	}
+	if err != nil {
+		s.log("stop: connections are cut", "connections", front.clients.cut())
+	}
 	s.log("stopped", "error", err)
 	server.Close()
 	return err
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -91,3 +91,41 @@
 		t.Error("the listener is still open")
 	}
 }
+
+// A request whose head or body is not whole when the process has to end gets an error, and
+// an answer whose client could take a part for the whole ends with a reset.
+func TestStopEndsWhatIsIncomplete(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRigWith(t, func(text string) string { return strings.ReplaceAll(text, `"deadlineS": 20`, `"deadlineS": 1`) }, backend)
+	head, _ := half(ask("POST", "booking", "x"))
+	inHead := r.send(t, head)
+	inBody := r.send(t, strings.TrimSuffix(ask("POST", "booking", "pickup"), "up"))
+	old := r.send(t, strings.Replace(ask("GET", "lookup", ""), "HTTP/1.1", "HTTP/1.0", 1))
+	to, br := backend.accept(t)
+	readRequest(t, br)
+	io.WriteString(to, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 2*mostHeld))
+	from := bufio.NewReader(old)
+	resp, err := http.ReadResponse(from, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.tells(t, "app.clients.busy:2|g", "app.clients.head:1|g")
+	began := time.Now()
+	r.stop()
+	for what, c := range map[string]net.Conn{"in a head": inHead, "in a body": inBody} {
+		got, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || got.StatusCode < 400 || !got.Close {
+			t.Errorf("%s: %v, %v", what, got, err)
+		}
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Errorf("%d more bytes passed for the whole", n)
+	}
+	if err := wait(t, r.ended, "end"); err == nil {
+		t.Error("an answer was cut, and the stop told of no error")
+	}
+	if took := time.Since(began); took > 1700*time.Millisecond {
+		t.Errorf("it took %v", took)
+	}
+}
