Failing tests: servers are told of more time than clients with long bodies have left

The soak has long and slow bodies, long answers, processes that are held up and upgrades that fail now.

--- a/cmd/gateway/client_test.go
+++ b/cmd/gateway/client_test.go
@@ -28,6 +28,7 @@
 	rests  bool // until the gateway ends the connection; it sends in that moment
 	pieces bool // it writes its requests in pieces
 	leaves bool // it often goes before its answer
+	long   bool // its bodies are long
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -108,7 +109,11 @@
 func (c *client) try(ctx context.Context, id, class string, patience time.Duration) end {
 	method, body := "GET", ""
 	if class == "keyed" || class == "unsafe" {
-		method, body = "POST", "Idempotency-Key: "+id+"\r\nContent-Length: 4\r\n\r\nbody"
+		content := "body"
+		if c.long {
+			content = strings.Repeat(content, 25<<10)
+		}
+		method, body = "POST", fmt.Sprintf("Idempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(content), content)
 	} else {
 		body = "\r\n"
 	}
--- a/cmd/gateway/judge_test.go
+++ b/cmd/gateway/judge_test.go
@@ -103,8 +103,8 @@
 	r.note("answered %d", status)
 	j.statuses[status]++
 	switch {
-	case status == http.StatusOK && body != "answer to "+id:
-		j.violate(r, "served with %q", body)
+	case status == http.StatusOK && body != "answer to "+id && body != "answer to "+id+longAnswer:
+		j.violate(r, "served with %d bytes, %.40q", len(body), body)
 	case status == http.StatusOK && r.attempts == 0:
 		j.violate(r, "served though no server had it")
 	case (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) && r.class == "unsafe" && r.ran:
--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -155,6 +155,14 @@
 
 // start starts a process and waits until it takes clients.
 func (p *platform) start() *instance {
+	p.t.Helper()
+	in := p.launch()
+	until(p.t, "http://"+in.control+"/control/ready", "200 OK")
+	return in
+}
+
+// launch starts a process.
+func (p *platform) launch() *instance {
 	p.t.Helper()
 	in := &instance{t: p.t, control: testnet.TCP(p.t), ended: make(chan struct{})}
 	in.cmd = exec.Command(os.Args[0])
@@ -173,12 +181,24 @@
 		in.cmd.Wait()
 	}()
 	p.t.Cleanup(func() { in.cmd.Process.Kill(); <-in.ended })
-	until(p.t, "http://"+in.control+"/control/ready", "200 OK")
 	return in
 }
 
 func (in *instance) signal(s syscall.Signal) { in.cmd.Process.Signal(s) }
 
+// freeze holds the process up.
+func (in *instance) freeze(d time.Duration) {
+	in.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	in.signal(syscall.SIGCONT)
+}
+
+// kill ends the process with no word.
+func (in *instance) kill() {
+	in.signal(syscall.SIGKILL)
+	<-in.ended
+}
+
 // terminate sends SIGTERM and, if the process is still there at the given time after it,
 // SIGKILL. It returns how long the process lived on.
 func (in *instance) terminate(killAfter time.Duration) (lived time.Duration, killed bool) {
@@ -222,8 +242,12 @@
 	resets
 	fails
 	answersWithoutLength // which ends with its connection
+	answersLong          // in pieces
 )
 
+// longAnswer is what stands behind the start of a long answer.
+var longAnswer = strings.Repeat("x", 300<<10)
+
 // server is a backend whose behaviour is drawn for each request.
 type server struct {
 	name  string
@@ -251,7 +275,9 @@
 	s.mu.Lock()
 	how, after := s.draw()
 	s.mu.Unlock()
-	io.Copy(io.Discard, r.Body)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // it never came whole
+	}
 	id := r.Header.Get("X-Correlation-Id")
 	left, _ := strconv.Atoi(r.Header.Get("X-Time-Left-Ms"))
 	s.judge.attempt(id, s.name, time.Duration(left)*time.Millisecond, how != fails)
@@ -265,6 +291,13 @@
 	case answers, answersLate:
 		wait(after)
 		io.WriteString(w, "answer to "+id)
+	case answersLong:
+		io.WriteString(w, "answer to "+id)
+		for at := 0; at < len(longAnswer); at += len(longAnswer) / 10 {
+			io.WriteString(w, longAnswer[at:at+len(longAnswer)/10])
+			w.(http.Flusher).Flush()
+			wait(after / 10)
+		}
 	case fails:
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -290,11 +323,14 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	return func() (behaviour, time.Duration) {
 		at := random.Float64()
-		for how := answers; how <= answersWithoutLength; how++ {
+		for how := answers; how <= answersLong; how++ {
 			if at -= weights[how]; at < 0 {
 				if how == answersLate {
 					return how, time.Duration(random.Float64() * float64(late))
 				}
+				if how == answersLong {
+					return how, time.Duration(random.Float64() * float64(100*time.Millisecond))
+				}
 				return how, time.Duration(random.Float64() * float64(20*time.Millisecond))
 			}
 		}
--- a/cmd/gateway/soak_test.go
+++ b/cmd/gateway/soak_test.go
@@ -106,7 +106,8 @@
 // calm and trouble set what the servers do.
 func (s *soak) calm() {
 	for n, b := range s.backends {
-		b.behave(mixture(s.seed<<8+uint64(n), time.Second, map[behaviour]float64{answersLate: 0.05, resets: 0.02, fails: 0.02, answersWithoutLength: 0.05}))
+		b.behave(mixture(s.seed<<8+uint64(n), time.Second, map[behaviour]float64{answersLate: 0.05, resets: 0.02, fails: 0.02,
+			answersWithoutLength: 0.05, answersLong: 0.05}))
 	}
 }
 
@@ -117,7 +118,7 @@
 			hung = 0.7
 		}
 		b.behave(mixture(s.seed<<16+uint64(n), 3*time.Second,
-			map[behaviour]float64{hangs: hung, answersLate: 0.1, resets: 0.05, fails: 0.05, answersWithoutLength: 0.05}))
+			map[behaviour]float64{hangs: hung, answersLate: 0.1, resets: 0.05, fails: 0.05, answersWithoutLength: 0.05, answersLong: 0.05}))
 	}
 }
 
@@ -145,10 +146,18 @@
 		}
 	}
 	if s.listener != nil {
+		s.failedUpgrade()
 		next = s.start()
 	}
 	s.trouble()
 	var series sync.WaitGroup
+	if s.random.IntN(3) == 0 { // a process is held up
+		at, held := s.span(killAfter), s.span(150*time.Millisecond)
+		series.Go(func() {
+			sleep(s.t.Context(), at)
+			old.freeze(held)
+		})
+	}
 	if s.random.IntN(2) == 0 {
 		repeat, at := []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT}[s.random.IntN(3)], s.span(killAfter)
 		series.Go(func() {
@@ -168,6 +177,18 @@
 	return next, old.log.String()
 }
 
+// failedUpgrade sometimes starts a process that is killed before or behind its readiness.
+func (s *soak) failedUpgrade() {
+	switch s.random.IntN(6) {
+	case 0:
+		failed := s.launch()
+		sleep(s.t.Context(), s.span(60*time.Millisecond))
+		failed.kill()
+	case 1:
+		s.start().kill()
+	}
+}
+
 // clients draws the clients.
 func (s *soak) clients() (all []*client) {
 	for n := range 12 + s.random.IntN(12) {
@@ -183,13 +204,15 @@
 			}
 			return time.Duration(c.random.ExpFloat64() * float64(100*time.Millisecond))
 		}
-		switch s.random.IntN(8) {
+		switch s.random.IntN(9) {
 		case 0:
 			c.rests = true
 		case 1:
 			c.pieces = true
 		case 2:
 			c.leaves = true
+		case 3:
+			c.long, c.pieces = true, true
 		}
 		all = append(all, c)
 	}
