The patience of a long body counts from when its last byte was sent

Cause: u.until was set when the gateway read the last byte, and writeHead told each attempt all of u.left. A body that waits in the socket while its request waits for room, or behind a failed attempt, was whole long before.

Change: bodyArrival notes the latest moment at which the socket was empty and the body not whole; the last byte was sent behind it, so the patience counts from there, for what is told to a backend and for the request's deadline. Not taken: the time of the head, which would take a slow upload's own time from its patience.

--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -30,6 +30,7 @@
 	ended    atomic.Bool // there is nobody, or nothing more, to wait for
 	untold   atomic.Bool // its answer ends with the connection, so a client can't tell a part from the whole
 	over     sync.Once
+	probe    unreadProbe
 
 	mu       sync.Mutex
 	read     framing
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -143,7 +143,11 @@
 // send writes the body of an upload as it arrives. It returns why the upload ended.
 func (a *attempt) send(c *backendConn) (cause, error) {
 	u, to := a.x.upload, pace{pause: stall, grace: stall, rate: leastRate}
-	a.writeHead(c.w, u.left, u.length)
+	left := u.timeLeft()
+	if !a.until.IsZero() {
+		left = min(left, time.Until(a.until))
+	}
+	a.writeHead(c.w, left, u.length)
 	for at, total := 0, int64(0); ; {
 		piece, err := u.next(a, at)
 		if err != nil && err != io.EOF {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -165,9 +165,10 @@
 	most    int64 // bytes; 0: any number
 	control *http.ResponseController
 	pace    pace
-	came    func() uint64 // bytes of bodies that have come on the connection; nil: not told
-	before  uint64        // of these, those of earlier bodies
-	latest  time.Time     // not to be read after this; zero: no such time
+	conn    *clientConn // nil: it does not tell what has come
+	before  uint64      // bytes of earlier bodies on the connection
+	arrival bodyArrival
+	latest  time.Time // not to be read after this; zero: no such time
 	over    bool
 	total   *atomic.Int64 // bytes of all bodies
 }
@@ -176,13 +177,29 @@
 	b := &clientBody{body: r.Body, length: r.ContentLength, most: most, control: control, total: total,
 		// What a slow head has taken of the time is gone.
 		pace: pace{pause: readTimeout, grace: readTimeout, rate: clientRate, waited: time.Since(requestSince(r))}}
-	if c := connOf(r); c != nil && r.ContentLength < 0 {
-		b.came, b.before = c.bodies, c.before()
+	b.conn = connOf(r)
+	b.arrival.begin(b.conn)
+	if b.conn != nil {
+		b.before = b.conn.before()
 	}
 	return b
 }
 
+// Read implements io.Reader. It notes when the end of the body came: what a read had to
+// wait for was sent no sooner than the read returned.
 func (b *clientBody) Read(p []byte) (int, error) {
+	missing := b.arrival.look()
+	n, err := b.readOn(p)
+	if missing {
+		b.arrival.still()
+	}
+	if err == io.EOF {
+		b.arrival.end()
+	}
+	return n, err
+}
+
+func (b *clientBody) readOn(p []byte) (int, error) {
 	// Danger: after the last byte the server itself listens for the client to
 	// leave, and a time-out of ours would pass for that.
 	if b.over || b.pace.bytes == b.length {
@@ -208,7 +225,7 @@
 // readSome waits for a byte and returns what has come. Danger: net/http waits for
 // the whole of a chunk, or for as much of it as there is room for.
 func (b *clientBody) readSome(p []byte) (int, error) {
-	if b.came == nil || b.length >= 0 || len(p) < 2 {
+	if b.conn == nil || b.length >= 0 || len(p) < 2 {
 		return b.body.Read(p)
 	}
 	if there := b.there(); there > 0 {
@@ -227,7 +244,7 @@
 }
 
 // there is how many bytes of the body have come and have not been read.
-func (b *clientBody) there() uint64 { return b.came() - b.before - uint64(b.pace.bytes) }
+func (b *clientBody) there() uint64 { return b.conn.bodies() - b.before - uint64(b.pace.bytes) }
 
 // upload is a body that goes on to a backend while it comes. The attempt that
 // takes it reads it; the client's handler may end that.
@@ -322,12 +339,16 @@
 		u.err = errCutShort // by the handler's own hand
 	}
 	if err == io.EOF {
-		u.until = time.Now().Add(u.left - seconds(answerMargin))
+		u.until = u.rest.arrival.at().Add(u.left - seconds(answerMargin))
 		u.whole(u.until)
 	}
 	return u.err
 }
 
+// timeLeft returns what the client has left at least, to be told to a backend: all of its
+// patience while the body still comes.
+func (u *upload) timeLeft() time.Duration { return u.rest.arrival.left(u.left) }
+
 // over tells whether nothing more of the body is to come, as of one that was
 // held whole.
 func (u *upload) over() bool {
