An error of accept that passes does not end the process

Cause: clients.Accept returned every error but a lack of descriptors, and the operators' listener every error; http.Server.Serve ends for most of them, and serve with it. Change: errors that may pass are tried again after 5 ms to 1 s, counted and logged once a second. EBADF, EINVAL and the like still end it.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -85,6 +85,7 @@
 	unset    atomic.Int64 // connections on which no limit on silence could be set
 	waited   atomic.Int64 // milliseconds that the last connection stood in the queue, where the system tells
 	starved  atomic.Int64 // times that no descriptor was to be had
+	failed   atomic.Int64 // times that accepting failed otherwise
 	rejected atomic.Int64 // connections that were given up and had to be answered
 }
 
@@ -222,7 +223,7 @@
 // One whose source has more than its share is told at once, as the queue behind it
 // would wait for it.
 func (l *clients) Accept() (net.Conn, error) {
-	pause := leastPause
+	var pause acceptPause
 	for {
 		if !l.awaitRoom() {
 			return nil, net.ErrClosed
@@ -231,18 +232,14 @@
 		switch {
 		case err != nil && l.queueEnded(err):
 			return nil, net.ErrClosed
-		case noDescriptor(err):
-			l.starved.Add(1)
-			if l.tells.allow() {
-				slog.Error("no descriptor for a client", "error", err)
-			}
-			l.sleep(pause)
-			pause = min(2*pause, mostPause)
-			continue
-		case err != nil:
+		case err != nil && !acceptPasses(err):
 			return nil, err
+		case err != nil:
+			l.acceptFailed(err)
+			l.sleep(pause.after())
+			continue
 		}
-		pause = leastPause
+		pause.reset()
 		l.extendQueue()
 		l.accepted.Add(1)
 		if conn := l.take(c); conn != nil {
@@ -253,6 +250,20 @@
 	}
 }
 
+// acceptFailed counts an error that passes and, once a second at most, logs it.
+func (l *clients) acceptFailed(err error) {
+	text := "accepting a client failed"
+	if noDescriptor(err) {
+		l.starved.Add(1)
+		text = "no descriptor for a client"
+	} else {
+		l.failed.Add(1)
+	}
+	if l.tells.allow() {
+		slog.Error(text, "error", err)
+	}
+}
+
 // endQueue takes the connections that already wait in the listener's queue, and ends
 // accepting. Their requests may have been taken by this machine; closing the listener over
 // them would reset them. A queue that other processes have too is left to those.
@@ -447,6 +458,6 @@
 	for cause, name := range closeCauseNames {
 		fmt.Fprintf(w, "app.clients.closed.%s:%d|c\n", name, l.ended[cause].Load())
 	}
-	fmt.Fprintf(w, "app.clients.wait_ms:%d|g\napp.clients.no_descriptor:%d|c\napp.clients.silence_unlimited:%d|c\napp.clients.rejected:%d|c\n",
-		l.waited.Load(), l.starved.Load(), l.unset.Load(), l.rejected.Load())
+	fmt.Fprintf(w, "app.clients.wait_ms:%d|g\napp.clients.no_descriptor:%d|c\napp.clients.silence_unlimited:%d|c\napp.clients.rejected:%d|c\napp.clients.accept_failed:%d|c\n",
+		l.waited.Load(), l.starved.Load(), l.unset.Load(), l.rejected.Load(), l.failed.Load())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	pair.serving()
 	if operators != nil {
 		call := (&control{figures: figures, ready: front.takesClients, byHand: pair.byHand, members: stands, loop: front.loop, beside: pair.beside}).server()
-		wg.Go(func() { failed <- call.Serve(operators) })
+		wg.Go(func() { failed <- call.Serve(newSteadyListener(operators, "operators")) })
 		defer call.Close() // they may call until the end
 	}
 	select {
