A failure of this machine's own is not put down to a server

Cause: pools.attempt called every error of a dial a connection that could not be made, for which the module avoids the server; a lack of descriptors had one more try, want of ports, buffers or a route none, and the gateway's own limit of connections counted alike. Change: such a dial is tried again for 250 ms with pauses, and is not started then (Moot), which blames nobody and proves that nothing ran; EINTR while a socket is looked at is tried again.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -24,12 +24,13 @@
 	return true
 }
 
-// acceptPause is the pause before accepting is tried again. It doubles from error to error.
-type acceptPause struct{ next time.Duration }
+// retryPause is the pause before a call is made again that failed. It doubles from error to error,
+// from leastPause to mostPause.
+type retryPause struct{ next time.Duration }
 
-func (p *acceptPause) reset() { p.next = 0 }
+func (p *retryPause) reset() { p.next = 0 }
 
-func (p *acceptPause) after() time.Duration {
+func (p *retryPause) after() time.Duration {
 	p.next = min(max(2*p.next, leastPause), mostPause)
 	return p.next
 }
@@ -39,7 +40,7 @@
 type steadyListener struct {
 	net.Listener
 	name   string // for the log
-	pause  acceptPause
+	pause  retryPause
 	lines  lineLimit
 	closed chan struct{}
 	close  sync.Once
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -113,7 +114,10 @@
 // written proves that the backend has run nothing; a later one proves nothing.
 func (p *pools) attempt(a *attempt) result {
 	c, err := p.conn(a.ctx, a.backend)
-	if err != nil {
+	switch {
+	case localFailure(err), errors.Is(err, errConnLimit):
+		return result{outcome: rules.Moot, err: err} // the backend had no part in it
+	case err != nil:
 		return result{outcome: rules.ConnectFailed, err: err}
 	}
 	if !a.hold(c) {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -223,7 +223,7 @@
 // One whose source has more than its share is told at once, as the queue behind it
 // would wait for it.
 func (l *clients) Accept() (net.Conn, error) {
-	var pause acceptPause
+	var pause retryPause
 	for {
 		if !l.awaitRoom() {
 			return nil, net.ErrClosed
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -64,11 +64,22 @@
 // peek returns nil if the socket has data or has reached its end, and EAGAIN if it is
 // quiet.
 func peek(fd uintptr) error {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, err := peekByte(fd)
 	return err
 }
 
+// peekByte returns 1 if the socket has data, and 0 at its end. It consumes nothing and does
+// not wait.
+func peekByte(fd uintptr) (n int, err error) {
+	var b [1]byte
+	for {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR { // which says nothing of the connection
+			return n, err
+		}
+	}
+}
+
 // alive reports, without blocking, whether an idle connection is still open and has no
 // data to read. It has to be checked before use: a request written to a connection that
 // the backend has closed ends in a reset, which does not prove that the request had no
@@ -105,9 +116,6 @@
 		return false
 	}
 	unread := 0
-	raw.Control(func(fd uintptr) {
-		var b [1]byte
-		unread, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	raw.Control(func(fd uintptr) { unread, _ = peekByte(fd) })
 	return unread > 0
 }
--- a/internal/gateway/dial.go
+++ b/internal/gateway/dial.go
@@ -29,6 +29,13 @@
 		errors.Is(err, syscall.ENOMEM)
 }
 
+// localFailure reports whether a dial failed for a reason that lies in this machine or this
+// gateway: it says nothing of the peer, and nothing was sent.
+func localFailure(err error) bool {
+	return noDescriptor(err) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENETUNREACH) ||
+		errors.Is(err, syscall.ENETDOWN) || errors.Is(err, syscall.EAGAIN)
+}
+
 // waited sleeps for d. It returns false if ctx ends first.
 func waited(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -14,6 +14,8 @@
 const (
 	idleMargin = time.Second            // how long before the backend's keep-alive limit a connection is given up
 	sweepGap   = 500 * time.Millisecond // between two sweeps for connections that have been idle too long
+
+	localFailureTime = 250 * time.Millisecond // how long a dial is tried again after failures of this machine
 )
 
 // settleTime is how long a connection stays unused after a response. Bytes that the
@@ -133,8 +135,12 @@
 	t.idle = nil
 }
 
-// errNoConn says that the backend is not known or that the limit of connections is reached.
-var errNoConn = errors.New("no connection to be had")
+var (
+	// errNoConn says that the backend is not known, or retired.
+	errNoConn = errors.New("no connection to be had")
+	// errConnLimit says that this gateway holds as many connections as it may.
+	errConnLimit = errors.New("the limit of connections to backends is reached")
+)
 
 // conn returns an idle connection to the backend, or dials a new one.
 func (p *pools) conn(ctx context.Context, id rules.BackendID) (*backendConn, error) {
@@ -163,22 +169,12 @@
 	}
 	if p.open >= p.mostOpen {
 		p.mu.Unlock()
-		return nil, errNoConn
+		return nil, errConnLimit
 	}
 	p.open++
 	within := p.connectTimeout
 	p.mu.Unlock()
-	c, err := p.dial(ctx, t, within)
-	if noDescriptor(err) {
-		// An idle connection to another backend makes room for one more try.
-		p.giveUpIdle()
-		if p.tells.allow() {
-			slog.Error("no descriptor for a backend", "error", err)
-		}
-		if waited(ctx, leastPause) {
-			c, err = p.dial(ctx, t, within)
-		}
-	}
+	c, err := p.dialAgain(ctx, t, within)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && t.retired {
@@ -193,6 +189,27 @@
 	return c, nil
 }
 
+// dialAgain dials, again after a pause while the failure is this machine's own.
+func (p *pools) dialAgain(ctx context.Context, t *target, within time.Duration) (*backendConn, error) {
+	var pause retryPause
+	for began := time.Now(); ; {
+		c, err := p.dial(ctx, t, within)
+		if !localFailure(err) {
+			return c, err
+		}
+		if p.tells.allow() {
+			slog.Error("no connection to a backend can be opened", "error", err)
+		}
+		if noDescriptor(err) {
+			p.giveUpIdle() // an idle connection to another backend makes room
+		}
+		next := pause.after()
+		if time.Since(began)+next > localFailureTime || !waited(ctx, next) {
+			return nil, err
+		}
+	}
+}
+
 // put returns a connection to its pool, or closes it if the pool has been retired.
 func (p *pools) put(c *backendConn) {
 	p.mu.Lock()
