State of an upgrade is moved to the new process's clock

Cause: handover.join took times as the old process wrote them. A process's clock begins at the wall clock, so behind a step of an hour back servers rested, trials waited and local shares went into debt for an hour. Change: the state has the time at which it was written; where that can't be of the same clock all times read on it are moved (Books.Shift). Starts of backends and windows are as discovery and the counter have them. Without a step nothing moves.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -25,10 +25,12 @@
 	upTimeout    = 6 * time.Second        // for a new process to serve; the platform waits no longer
 	serveWait    = 200 * time.Millisecond // for its word that it serves, which may be on its way
 	passTimeout  = 700 * time.Millisecond // for the other's word on a call, of which the caller waits 1 s
+	sameClock    = 0.05                   // seconds that clocks which begin at one wall clock may differ by
 )
 
 // books is what one process of a gateway leaves to the next.
 type books struct {
+	At      float64 // the time of the process that wrote them, on its clock
 	Listing Listing
 	Plans   []string // the customers' books go by their numbers
 	Rules   rules.Books
@@ -166,6 +168,7 @@
 	var n note
 	end, _ := ctx.Deadline()
 	conn.SetReadDeadline(end)
+	asked := h.loop.clock.now()
 	if err = l.send(note{Join: true}); err == nil {
 		err = l.in.Decode(&n)
 	}
@@ -177,10 +180,21 @@
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Time{})
+	n.Books.Rules.Shift(clockStep(n.Books.At, asked, h.loop.clock.now()))
 	h.take(l, false)
 	return n.Books, nil
 }
 
+// clockStep returns by how much this process's clock is ahead of that of a process that
+// wrote its time between two moments of this one: 0 if it may be the same. Each clock begins
+// at the wall clock, which may have been stepped between their starts.
+func clockStep(theirs, asked, answered float64) float64 {
+	if theirs == 0 || theirs >= asked-sameClock && theirs <= answered+sameClock {
+		return 0
+	}
+	return answered - theirs
+}
+
 // take makes l the connection to the other process and listens on it until it
 // ends. It returns false where there is another already.
 func (h *handover) take(l *link, heir bool) bool {
@@ -428,7 +442,7 @@
 // handOver writes the books.
 func (l *Loop) handOver() books {
 	l.handle(rules.HandOver{})
-	b := books{Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver,
+	b := books{At: l.clock.now(), Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver,
 		Outside: slices.Sorted(maps.Keys(l.outside))}
 	l.handedOver = rules.Books{}
 	for _, i := range l.instances {
--- a/rules/types.go
+++ b/rules/types.go
@@ -302,6 +302,28 @@
 	Customers              []CustomerBook
 }
 
+// Shift moves all times that were read on the writer's clock by so many seconds, for a reader
+// whose clock is ahead by that. 0 stands for no time. Starts of backends are left, as
+// discovery tells them, and so are windows, which are cut anew.
+func (b *Books) Shift(by float64) {
+	for i := range b.Backends {
+		k := &b.Backends[i]
+		shift(by, &k.LastOK, &k.TrialAt, &k.BudgetedAt)
+	}
+	for i := range b.Customers {
+		k := &b.Customers[i]
+		shift(by, &k.Seen, &k.Expires, &k.DryUntil, &k.RestTill, &k.LocalAt)
+	}
+}
+
+func shift(by float64, times ...*float64) {
+	for _, t := range times {
+		if *t != 0 {
+			*t += by
+		}
+	}
+}
+
 // BackendBook is what is known of one backend.
 type BackendBook struct {
 	Backend
