The age of a cold backend does not depend on a stepped clock

Cause: warmth was worked out from the difference of discovery's clock, by which starts are told, and this gateway's, which begins at its machine's wall clock. Change: a start that is told while the gateway runs is put on its own clock, by the promptest of all starts that it was told (startOf); one that lies ahead counts as now. Starts of the first list are taken as they are but for that: nothing shows their step. The ramp is handed over in an upgrade. The slow start has a module of its own, rules/slow_start.go; anew is resetColdStart.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -2,14 +2,13 @@
 
 // The decisions of one gateway. The interface it is driven through (settings, events, actions) is in
 // rules/types.go; rules/state.go declares what is kept between events, and decides nothing. What changes
-// when the process ends is in rules/stop.go.
+// when the process ends is in rules/stop.go, the slow start of backends in rules/slow_start.go.
 //
 // A request passes these steps: its customer's lease pays for it (admit), it waits in the queue of its
 // level (enqueue), the bound lets it go (dispatch), a backend is picked (pick), and one function sends
 // (send) and one answers (reject), which hold the rules that no other step may bypass.
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -69,10 +68,6 @@
 	pairShare   = 0.5 // of what the gateway may do unasked, for each of two processes of it
 	leaverShare = 0.2 // for the one that takes no more clients
 
-	coldSpan = 2.0 // seconds over which sends to warm backends are averaged
-	coldMin  = 0.5 // sends a second, of the whole fleet, that a cold backend always gets
-	coldSave = 1.5 // sends a cold backend's budget holds at most
-
 	coldFirst = 0.9 // factor on the cost of a cold backend whose turn has come
 
 	stretchOf  = 8.0 // gateways have each backend in their stretch of the list
@@ -99,7 +94,7 @@
 // New starts a gateway. It keeps nothing from an earlier life.
 func New(set Settings, seed uint64, now float64, out []Action) (*Gateway, []Action) {
 	g := &Gateway{set: set, now: now, out: out, born: now, lastHousekeeping: now, lastCut: now,
-		retries: retryMost, share: 1, endsAt: math.Inf(1)}
+		retries: retryMost, share: 1, endsAt: math.Inf(1), startLag: math.Inf(1)}
 	g.rank()
 	g.makeRoom(seed)
 	if set.AskDiscovery {
@@ -670,39 +665,6 @@
 // perGateway is how many backends there are for each gateway, of those that it may use.
 func (g *Gateway) perGateway() float64 { return float64(len(g.list)) / float64(g.set.sharing()) }
 
-// warmth is the least share of its capacity that a backend can be trusted with.
-func (g *Gateway) warmth(s *server) float64 {
-	if s.Born == 0 || g.set.ColdFor <= 0 || g.now-s.Born >= g.set.ColdFor {
-		return 1
-	}
-	age := max(g.now-s.Born, 0) / g.set.ColdFor
-	return g.set.ColdFrom + (1-g.set.ColdFrom)*age
-}
-
-// coldRoom keeps a cold backend from being pushed over with no agreement among gateways: each sends it at
-// most its warmth times what it sends a warm one, in any short window, so the sum stays within what warm
-// ones bear.
-func (g *Gateway) coldRoom(s *server) bool {
-	w := g.warmth(s)
-	if w >= 1 {
-		return true
-	}
-	rate := max(w*g.warmRate, coldMin/float64(cmp.Or(g.set.Sharing, g.here, g.set.Fleet, 1))) * g.share
-	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), max(coldSave*g.share, 1))
-	s.budgetedAt = g.now
-	return s.budget >= 1
-}
-
-// anew forgets what was learnt of an earlier process. Each gateway has saved another part of a send for the
-// new one, in an order that differs from backend to backend: with nothing saved, all would wait long for
-// their first and then come at once.
-func (g *Gateway) anew(s *server) {
-	fleet := uint64(max(g.set.Fleet, 1))
-	turn := (float64((hash(uint64(s.ID))+uint64(g.set.Rank))%fleet) + 0.5) / float64(fleet)
-	s.latency, s.fail, s.missed, s.trialGap = 0, 0, 0, 0
-	s.budget, s.budgetedAt = turn*g.share, g.now
-}
-
 // backends takes in news of the list. What is not ready gets nothing from now on.
 func (g *Gateway) backends(e Backends) {
 	if e.Kind == ListFailed {
@@ -720,12 +682,14 @@
 		known := g.servers[b.ID] != nil
 		s := g.serverOf(b)
 		if !known || b.Born > s.Born {
-			g.anew(s) // a new process
+			g.resetColdStart(s) // a new process
+			s.warmsFrom = g.startOf(b)
 		} else {
 			b.Born = s.Born
 		}
 		s.Backend = b
 	}
+	g.listed = g.listed || e.Kind != CachedList
 	if g.bound == 0 && len(g.list) > 0 {
 		g.bound = boundStart * g.perGateway()
 	}
@@ -740,7 +704,7 @@
 		s.budget /= 2
 		b.Backends = append(b.Backends, BackendBook{Backend: s.Backend, Banned: s.banned, Fail: s.fail,
 			Latency: s.latency, LastOK: s.lastOK, TrialAt: s.trialAt, TrialGap: s.trialGap,
-			Budget: s.budget, BudgetedAt: s.budgetedAt})
+			Budget: s.budget, BudgetedAt: s.budgetedAt, WarmsFrom: s.warmsFrom})
 	}
 	for _, c := range g.roster {
 		c.takeLocal(g.now, 0)
@@ -763,6 +727,9 @@
 	for _, k := range b.Backends {
 		s := g.serverOf(k.Backend)
 		s.Born = max(s.Born, k.Born) // it may have come back by hand later than discovery says
+		if s.warmsFrom = k.WarmsFrom; s.warmsFrom == 0 && s.Born > 0 {
+			s.warmsFrom = min(s.Born, g.now) // the writer did not tell it
+		}
 		s.banned, s.fail, s.latency, s.lastOK = k.Banned, k.Fail, k.Latency, k.LastOK
 		s.trialAt, s.trialGap, s.budget, s.budgetedAt = k.TrialAt, k.TrialGap, k.Budget, k.BudgetedAt
 	}
@@ -802,7 +769,8 @@
 	}
 	if s.banned = e.Offline; !s.banned {
 		s.Born = max(s.Born, g.now)
-		g.anew(s)
+		g.resetColdStart(s)
+		s.warmsFrom = g.now
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -42,6 +42,8 @@
 	warmSent          int
 	lastHousekeeping  float64
 	askRest           float64 // pause after discovery failed
+	listed            bool    // discovery has told of a whole list
+	startLag          float64 // least time from a backend's start until it was told
 	patience          []patience
 	arrivals, arrived []float64        // by level: a second, and since lastHousekeeping
 	rejected          [ReasonCount]int // requests rejected since toldAt
@@ -106,6 +108,7 @@
 	cost               float64 // as of the last pick
 	trialAt, trialGap  float64
 	budget, budgetedAt float64 // sends it may get while cold
+	warmsFrom          float64 // its last start on this gateway's clock; 0: long ago
 }
 
 // live returns a request that is not over, or nil.
--- a/rules/types.go
+++ b/rules/types.go
@@ -308,7 +308,7 @@
 func (b *Books) Shift(by float64) {
 	for i := range b.Backends {
 		k := &b.Backends[i]
-		shift(by, &k.LastOK, &k.TrialAt, &k.BudgetedAt)
+		shift(by, &k.LastOK, &k.TrialAt, &k.BudgetedAt, &k.WarmsFrom)
 	}
 	for i := range b.Customers {
 		k := &b.Customers[i]
@@ -334,6 +334,7 @@
 	TrialGap      float64
 	Budget        float64
 	BudgetedAt    float64
+	WarmsFrom     float64
 }
 
 // CustomerBook is the quota of one customer.
