--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,11 +66,11 @@
 	if c.HandoverDir != "" {
 		before, err := pair.join(ctx, c.HandoverDir)
 		if err != nil {
-			slog.Error("starting without books", "error", err)
+			slog.Error("starting without state", "error", err)
 		}
 		if before != nil {
-			front.loop.adopt(before)
-			slog.Info("books taken", "backends", len(before.Rules.Backends), "customers", len(before.Rules.Customers))
+			front.loop.importState(before)
+			slog.Info("state imported", "backends", len(before.Rules.Backends), "customers", len(before.Rules.Customers))
 			front.ready.Store(len(before.Listing.Instances) > 0)
 		}
 		wg.Go(func() {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -20,7 +20,7 @@
 
 const (
 	handoverName = "handover.sock"
-	joinTimeout  = 2 * time.Second // for the books; the platform waits 6 s for a new process
+	joinTimeout  = 2 * time.Second // for the state; the platform waits 6 s for a new process
 	joinRetry    = 20 * time.Millisecond
 	upTimeout    = 6 * time.Second        // for a new process to serve; the platform waits no longer
 	serveWait    = 200 * time.Millisecond // for its word that it serves, which may be on its way
@@ -28,23 +28,23 @@
 	sameClock    = 0.05                   // seconds that clocks which begin at one wall clock may differ by
 )
 
-// books is what one process of a gateway leaves to the next.
-type books struct {
+// snapshot is what one process of a gateway leaves to the next.
+type snapshot struct {
 	At      float64 // the time of the process that wrote them, on its clock
 	Listing Listing
-	Plans   []string // the customers' books go by their numbers
-	Rules   rules.Books
+	Plans   []string // the customers' records go by their numbers
+	Rules   rules.Snapshot
 	Outside []string `json:",omitempty"` // backends outside the subset that are out by hand
 }
 
 // note is one line between two processes of a gateway.
 type note struct {
-	Join    bool   `json:",omitempty"` // new to old: the books, please
-	Books   *books `json:",omitempty"` // old to new
-	Serving bool   `json:",omitempty"` // new to old: clients are taken
-	Leaving bool   `json:",omitempty"` // old to new: no more clients are taken
-	Call    *word  `json:",omitempty"` // an operator's
-	Said    *word  `json:",omitempty"` // the answer to one
+	Join     bool      `json:",omitempty"`      // new to old: the state, please
+	Snapshot *snapshot `json:"Books,omitempty"` // old to new; the name is that of earlier releases
+	Serving  bool      `json:",omitempty"`      // new to old: clients are taken
+	Leaving  bool      `json:",omitempty"`      // old to new: no more clients are taken
+	Call     *word     `json:",omitempty"`      // an operator's
+	Said     *word     `json:",omitempty"`      // the answer to one
 }
 
 // word is an operator's, or the answer to it.
@@ -135,10 +135,10 @@
 	hearer sync.WaitGroup
 }
 
-// join asks the process before for its books, if there is one, and again while
+// join asks the process before for its state, if there is one, and again while
 // that still has the end of another to notice. It returns nil where there is
 // none, or it has nothing to say.
-func (h *handover) join(ctx context.Context, dir string) (*books, error) {
+func (h *handover) join(ctx context.Context, dir string) (*snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	for {
@@ -159,7 +159,7 @@
 	}
 }
 
-func (h *handover) ask(ctx context.Context, dir string) (*books, error) {
+func (h *handover) ask(ctx context.Context, dir string) (*snapshot, error) {
 	conn, err := new(net.Dialer).DialContext(ctx, "unix", filepath.Join(dir, handoverName))
 	if err != nil {
 		return nil, nil // nobody there; a file may be left of one that is gone
@@ -172,17 +172,17 @@
 	if err = l.send(note{Join: true}); err == nil {
 		err = l.in.Decode(&n)
 	}
-	if err == nil && n.Books == nil {
-		err = errors.New("no books")
+	if err == nil && n.Snapshot == nil {
+		err = errors.New("no state")
 	}
 	if err != nil {
 		conn.Close()
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Time{})
-	n.Books.Rules.Shift(clockStep(n.Books.At, asked, h.loop.clock.now()))
+	n.Snapshot.Rules.Shift(clockStep(n.Snapshot.At, asked, h.loop.clock.now()))
 	h.take(l, false)
-	return n.Books, nil
+	return n.Snapshot, nil
 }
 
 // clockStep returns by how much this process's clock is ahead of that of a process that
@@ -254,7 +254,7 @@
 	h.heir, h.up = false, false
 }
 
-// serve gives the books to the process after this one, until ctx ends. Its file
+// serve gives the state to the process after this one, until ctx ends. Its file
 // takes the place of that of the process before in one step, once that one has
 // ended: should this one end first, the next must find the old one. What a dead
 // process left is replaced likewise.
@@ -285,13 +285,13 @@
 			return err
 		}
 		if err := h.give(conn); err != nil {
-			slog.Error("books not handed over", "error", err)
+			slog.Error("state not exported", "error", err)
 			conn.Close() // which its reader, if it has one, takes for the other's end
 		}
 	}
 }
 
-// give hands the books over to a process that asks for them.
+// give hands the state over to a process that asks for them.
 func (h *handover) give(conn net.Conn) error {
 	l := newLink(conn)
 	conn.SetReadDeadline(time.Now().Add(joinTimeout))
@@ -304,26 +304,26 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	// Danger: a word of an operator must miss neither process. One that comes from
-	// here on goes to both, and to the new one after the books.
+	// here on goes to both, and to the new one after the state.
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !h.take(l, true) {
 		return errors.New("this process has another beside it, or ends")
 	}
-	written := make(chan books, 1)
+	written := make(chan snapshot, 1)
 	if !h.loop.post(join{written}) {
 		return errors.New("this process has ended")
 	}
 	select {
 	case b := <-written:
 		conn.SetWriteDeadline(time.Now().Add(passTimeout))
-		if err := l.out.Encode(note{Books: &b}); err != nil {
+		if err := l.out.Encode(note{Snapshot: &b}); err != nil {
 			return err
 		}
 	case <-h.loop.stopped:
 		return errors.New("this process has ended")
 	}
-	slog.Info("books handed over")
+	slog.Info("state exported")
 	time.AfterFunc(upTimeout, func() { h.drop(l) })
 	return nil
 }
@@ -422,8 +422,8 @@
 	h.hearer.Wait()
 }
 
-// adopt takes the books of the process before, which the loop does before it runs.
-func (l *Loop) adopt(b *books) {
+// importState takes the state of the process before, which the loop does before it runs.
+func (l *Loop) importState(b *snapshot) {
 	l.list(b.Listing, rules.CachedList)
 	if !slices.Equal(b.Plans, l.service.PlanNames) {
 		b.Rules.Customers = nil // the numbers mean other plans
@@ -436,15 +436,15 @@
 	if l.subset != nil {
 		l.outside = namedOnce(b.Outside)
 	}
-	l.handle(rules.Adopt{Books: b.Rules})
+	l.handle(rules.Import{Snapshot: b.Rules})
 }
 
-// handOver writes the books.
-func (l *Loop) handOver() books {
-	l.handle(rules.HandOver{})
-	b := books{At: l.clock.now(), Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.handedOver,
+// exportState writes the state.
+func (l *Loop) exportState() snapshot {
+	l.handle(rules.Export{})
+	b := snapshot{At: l.clock.now(), Listing: Listing{Reset: true}, Plans: l.service.PlanNames, Rules: l.exported,
 		Outside: slices.Sorted(maps.Keys(l.outside))}
-	l.handedOver = rules.Books{}
+	l.exported = rules.Snapshot{}
 	for _, i := range l.instances {
 		b.Listing.Instances = append(b.Listing.Instances, i)
 	}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// A process that has the books and stalls holds up neither calls by hand nor the
+// A process that has the state and stalls holds up neither calls by hand nor the
 // end of the old one.
 // A gateway that can have no Unix socket serves without one and says so once.
 func TestNoSocketForALaterProcess(t *testing.T) {
@@ -168,7 +168,7 @@
 	if err := wait(t, r.ended, "end"); err != nil {
 		t.Error(err)
 	}
-	if n := strings.Count(text.String(), "no later process can take over"); n != 1 || strings.Contains(text.String(), "without books") {
+	if n := strings.Count(text.String(), "no later process can take over"); n != 1 || strings.Contains(text.String(), "without state") {
 		t.Errorf("logged:\n%s", text.String())
 	}
 }
@@ -189,8 +189,8 @@
 	if err := stalled.send(note{Join: true}); err != nil {
 		t.Fatal(err)
 	}
-	if err := stalled.in.Decode(&n); err != nil || n.Books == nil || len(n.Books.Listing.Instances) != 1 {
-		t.Fatalf("books %+v, %v", n.Books, err)
+	if err := stalled.in.Decode(&n); err != nil || n.Snapshot == nil || len(n.Snapshot.Listing.Instances) != 1 {
+		t.Fatalf("state %+v, %v", n.Snapshot, err)
 	}
 	if status, _ := old.operate(t, "POST", "/control/backends/"+backend.address()+"/offline"); status != http.StatusOK {
 		t.Errorf("status %d", status)
@@ -225,8 +225,8 @@
 	if err := next.send(note{Join: true}); err != nil {
 		t.Fatal(err)
 	}
-	if err := next.in.Decode(&n); err != nil || n.Books == nil {
-		t.Fatalf("books %+v, %v", n.Books, err)
+	if err := next.in.Decode(&n); err != nil || n.Snapshot == nil {
+		t.Fatalf("state %+v, %v", n.Snapshot, err)
 	}
 	old.stop()
 	old.untilLeaving(t)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -59,7 +59,7 @@
 		known   chan<- bool // has room for one
 	}
 	told    struct{ event rules.Event } // news of this process or the one beside it
-	join    struct{ books chan<- books }
+	join    struct{ snapshot chan<- snapshot }
 	retuned struct {
 		service *service
 		subset  subset.Settings
@@ -92,19 +92,19 @@
 	stopped  chan struct{}  // closed when run ends
 	attempts sync.WaitGroup // those that use sockets
 
-	live       map[rules.RequestID]*exchange // until the last attempt has ended
-	nextID     rules.RequestID
-	instances  map[rules.BackendID]Instance // on the list
-	name       string                       // of the gateway
-	history    string                       // of the list that was applied last
-	version    int64
-	subset     *backendSubset           // of the list that it is told; nil: all of it is used
-	offline    map[rules.BackendID]bool // by hand, as this process has heard
-	outside    map[string]bool          // of the subset, and out by hand
-	handedOver rules.Books
-	timers     timerHeap
-	actions    []rules.Action
-	pending    []rules.Event // events that actions brought about
+	live      map[rules.RequestID]*exchange // until the last attempt has ended
+	nextID    rules.RequestID
+	instances map[rules.BackendID]Instance // on the list
+	name      string                       // of the gateway
+	history   string                       // of the list that was applied last
+	version   int64
+	subset    *backendSubset           // of the list that it is told; nil: all of it is used
+	offline   map[rules.BackendID]bool // by hand, as this process has heard
+	outside   map[string]bool          // of the subset, and out by hand
+	exported  rules.Snapshot
+	timers    timerHeap
+	actions   []rules.Action
+	pending   []rules.Event // events that actions brought about
 
 	traced   int     // lines about single requests
 	tracedAt float64 // in the second from here on
@@ -220,7 +220,7 @@
 	case told:
 		l.handle(m.event)
 	case join:
-		m.books <- l.handOver()
+		m.snapshot <- l.exportState()
 	case byHand:
 		m.known <- l.ban(m.id, m.offline)
 	case retuned:
@@ -438,8 +438,8 @@
 			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
 			l.call(a)
-		case rules.HandedOver:
-			l.handedOver = a.Books
+		case rules.Exported:
+			l.exported = a.Snapshot
 		case rules.Log:
 			log.Print(a.Text)
 		case rules.Subscribe:
--- a/rules/operator_test.go
+++ b/rules/operator_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// Two processes of a gateway must spend nothing twice: what one has in its books
+// Two processes of a gateway must spend nothing twice: what one has in its state
 // the other has not, and what each may do unasked is a part of the whole.
 func TestHandOver(t *testing.T) {
 	set := testSettings()
@@ -135,12 +135,12 @@
 		t.Fatalf("%f units leased, too few to share", units[1])
 	}
 	whole := old.g.customers[1].terms
-	books := one[HandedOver](t, old.handle(HandOver{})).Books
+	state := one[Exported](t, old.handle(Export{})).Snapshot
 
 	next := &drive{t: t, now: old.now, nextID: 100}
 	next.g, _ = New(set, 8, next.now, nil)
 	next.handle(Backends{Kind: CachedList, Entries: some(3)})
-	next.handle(Adopt{Books: books})
+	next.handle(Import{Snapshot: state})
 	for id, had := range units {
 		a, b := old.g.customers[id], next.g.customers[id]
 		if sum := a.units + b.units; sum > had || b.units == 0 && had >= 2 {
@@ -155,7 +155,7 @@
 			t.Errorf("terms of a process %+v, of the gateway %+v", c, whole)
 		}
 		if s := d.g.servers[2]; s.usable() || !d.g.servers[1].usable() {
-			t.Error("the ban is not in both books")
+			t.Error("the ban is not in both states")
 		}
 		if w := d.g.warmth(d.g.servers[3]); w != set.ColdFrom {
 			t.Errorf("a backend that has just come back has warmth %f", w)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,10 +127,10 @@
 		g.counted(e)
 	case Backends:
 		g.backends(e)
-	case HandOver:
-		g.handOver()
-	case Adopt:
-		g.adopt(e.Books)
+	case Export:
+		g.exportState()
+	case Import:
+		g.importState(e.Snapshot)
 	case Neighbour:
 		g.shareOut([]float64{Absent: 1, Beside: pairShare, Leaving: 1 - leaverShare}[e])
 	case Leave:
@@ -460,7 +460,7 @@
 
 func (g *Gateway) lateAfter() float64 { return g.latency + lateDevs*g.spread }
 
-// attemptEnd books the end of an attempt and decides what becomes of the request.
+// attemptEnd records the end of an attempt and decides what becomes of the request.
 func (g *Gateway) attemptEnd(e AttemptEnd) {
 	j := g.requests[e.Request]
 	if j == nil || e.Attempt >= len(j.attempts) || j.attempts[e.Attempt].ended {
@@ -695,68 +695,6 @@
 	}
 }
 
-// handOver writes the books for a process that has come up beside this one and splits what may be spent
-// unasked. Danger: what stays in both books would be spent twice.
-func (g *Gateway) handOver() {
-	b := Books{Bound: g.bound, Latency: g.latency, Spread: g.spread, Pressure: g.pressure, Crowd: g.crowd,
-		WarmRate: g.warmRate}
-	for _, s := range g.list {
-		s.budget /= 2
-		b.Backends = append(b.Backends, BackendBook{Backend: s.Backend, Banned: s.banned, Fail: s.fail,
-			Latency: s.latency, LastOK: s.lastOK, TrialAt: s.trialAt, TrialGap: s.trialGap,
-			Budget: s.budget, BudgetedAt: s.budgetedAt, WarmsFrom: s.warmsFrom})
-	}
-	for _, c := range g.roster {
-		c.takeLocal(g.now, 0)
-		c.local /= 2
-		give := math.Floor(max(c.units, 0) / 2)
-		c.units -= give
-		b.Customers = append(b.Customers, CustomerBook{ID: c.id, Plan: c.plan, Gateways: c.gateways,
-			Index: c.index, Demand: c.demand / 2, Seen: c.seen, Units: give, Expires: c.expires, Leased: c.leased,
-			Window: c.window, Known: c.known, Met: c.met, DryUntil: c.dryUntil, Rest: c.rest,
-			RestTill: c.restTill, Local: c.local, LocalAt: c.localAt})
-	}
-	g.shareOut(pairShare)
-	g.do(HandedOver{Books: b})
-}
-
-// adopt takes over such books. What is owed or on its way stays with the other process.
-func (g *Gateway) adopt(b Books) {
-	g.bound, g.latency, g.spread, g.warmRate = b.Bound, b.Latency, b.Spread, b.WarmRate
-	g.pressure, g.crowd = b.Pressure, b.Crowd
-	for _, k := range b.Backends {
-		s := g.serverOf(k.Backend)
-		s.Born = max(s.Born, k.Born) // it may have come back by hand later than discovery says
-		if s.warmsFrom = k.WarmsFrom; s.warmsFrom == 0 && s.Born > 0 {
-			s.warmsFrom = min(s.Born, g.now) // the writer did not tell it
-		}
-		s.banned, s.fail, s.latency, s.lastOK = k.Banned, k.Fail, k.Latency, k.LastOK
-		s.trialAt, s.trialGap, s.budget, s.budgetedAt = k.TrialAt, k.TrialGap, k.Budget, k.BudgetedAt
-	}
-	for _, k := range b.Customers {
-		if k.Plan >= len(g.set.Plans) || g.customers[k.ID] != nil {
-			continue
-		}
-		c := &customer{id: k.ID, plan: k.Plan, gateways: k.Gateways, index: k.Index, demand: k.Demand, seen: k.Seen,
-			units: k.Units, expires: k.Expires, leased: k.Leased, window: k.Window, known: k.Known, met: k.Met,
-			name: windowName(k.ID, k.Window), dryUntil: k.DryUntil, rest: k.Rest, restTill: k.RestTill,
-			local: k.Local, localAt: k.LocalAt}
-		g.customers[k.ID] = c
-		g.roster = append(g.roster, c)
-	}
-	g.shareOut(pairShare)
-}
-
-// shareOut takes a part of what the gateway may do unasked for this process.
-func (g *Gateway) shareOut(part float64) {
-	g.share = part
-	for _, c := range g.roster {
-		if c.plan < len(g.set.Plans) {
-			c.terms = g.terms(&g.set.Plans[c.plan], c.gateways, c.index)
-		}
-	}
-}
-
 // usable tells whether s may get requests at all.
 func (s *server) usable() bool { return s.State == Ready && !s.banned }
 
@@ -1046,7 +984,7 @@
 	}
 }
 
-// giveIdle takes what goes back out of the books.
+// giveIdle takes what goes back out of the account.
 func (g *Gateway) giveIdle(c *customer) (back float64) {
 	back, c.idle = c.idle, 0
 	if c.known > 0 {
--- a/rules/sharing_test.go
+++ b/rules/sharing_test.go
@@ -12,12 +12,12 @@
 		news.Entries = append(news.Entries, Backend{ID: BackendID(n + 1), State: Ready, Weight: 1})
 	}
 	g.Handle(1, news, nil)
-	for _, action := range g.Handle(2, HandOver{}, nil) {
-		if h, ok := action.(HandedOver); ok {
-			return h.Books.Bound
+	for _, action := range g.Handle(2, Export{}, nil) {
+		if h, ok := action.(Exported); ok {
+			return h.Snapshot.Bound
 		}
 	}
-	t.Fatal("no books")
+	t.Fatal("no state was exported")
 	return 0
 }
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -266,15 +266,15 @@
 	Offline bool
 }
 
-// HandOver asks for the books of a gateway whose next process has come up beside
-// it. The answer is a HandedOver.
-type HandOver struct{}
+// Export asks for the state of a gateway whose next process has come up beside
+// it. The answer is a Exported.
+type Export struct{}
 
-// Adopt gives a new process the books of the one beside it, before its first
+// Import gives a new process the state of the one beside it, before its first
 // request.
-type Adopt struct{ Books Books }
+type Import struct{ Snapshot Snapshot }
 
-// Neighbour tells what the other process of this gateway does, whose books
+// Neighbour tells what the other process of this gateway does, whose state
 // were taken or given.
 type Neighbour int
 
@@ -292,40 +292,18 @@
 // Leave says that the process ends then, and can answer nobody after it.
 type Leave struct{ Until float64 }
 
-// Books is what one process of a gateway leaves to the next: its bans and what
+// Snapshot is what one process of a gateway leaves to the next: its bans and what
 // it knows of backends, and a part of its leases, which it then has no longer.
-type Books struct {
+type Snapshot struct {
 	Bound, Latency, Spread float64
 	Pressure, Crowd        float64
 	WarmRate               float64
-	Backends               []BackendBook
-	Customers              []CustomerBook
+	Backends               []BackendRecord
+	Customers              []CustomerRecord
 }
 
-// Shift moves all times that were read on the writer's clock by so many seconds, for a reader
-// whose clock is ahead by that. 0 stands for no time. Starts of backends are left, as
-// discovery tells them, and so are windows, which are cut anew.
-func (b *Books) Shift(by float64) {
-	for i := range b.Backends {
-		k := &b.Backends[i]
-		shift(by, &k.LastOK, &k.TrialAt, &k.BudgetedAt, &k.WarmsFrom)
-	}
-	for i := range b.Customers {
-		k := &b.Customers[i]
-		shift(by, &k.Seen, &k.Expires, &k.DryUntil, &k.RestTill, &k.LocalAt)
-	}
-}
-
-func shift(by float64, times ...*float64) {
-	for _, t := range times {
-		if *t != 0 {
-			*t += by
-		}
-	}
-}
-
-// BackendBook is what is known of one backend.
-type BackendBook struct {
+// BackendRecord is what is known of one backend.
+type BackendRecord struct {
 	Backend
 	Banned        bool
 	Fail, Latency float64
@@ -337,8 +315,8 @@
 	WarmsFrom     float64
 }
 
-// CustomerBook is the quota of one customer.
-type CustomerBook struct {
+// CustomerRecord is the quota of one customer.
+type CustomerRecord struct {
 	ID                    CustomerID
 	Plan, Gateways, Index int
 	Demand, Seen          float64
@@ -352,8 +330,8 @@
 
 func (Backends) event()     {}
 func (Whole) event()        {}
-func (HandOver) event()     {}
-func (Adopt) event()        {}
+func (Export) event()       {}
+func (Import) event()       {}
 func (Neighbour) event()    {}
 func (Leave) event()        {}
 func (Members) event()      {}
@@ -420,19 +398,19 @@
 // Subscribe asks discovery for changes.
 type Subscribe struct{}
 
-// HandedOver answers a HandOver.
-type HandedOver struct{ Books Books }
+// Exported answers a Export.
+type Exported struct{ Snapshot Snapshot }
 
 // Log writes a line for the operators.
 type Log struct{ Text string }
 
-func (Send) action()       {}
-func (Cancel) action()     {}
-func (Refuse) action()     {}
-func (Fail) action()       {}
-func (SetTimer) action()   {}
-func (Count) action()      {}
-func (Probe) action()      {}
-func (Subscribe) action()  {}
-func (HandedOver) action() {}
-func (Log) action()        {}
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (SetTimer) action()  {}
+func (Count) action()     {}
+func (Probe) action()     {}
+func (Subscribe) action() {}
+func (Exported) action()  {}
+func (Log) action()       {}
