One way to the socket of a connection, where three looked for it alike

newBackendConn, unreadBytes and unreadProbe call rawConn. alive stays by itself: a connection whose socket can't be had is not alive there. No behaviour changes.

--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -88,15 +88,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.raw == nil {
-		s, ok := conn.(syscall.Conn)
-		if !ok {
+		if p.raw = rawConn(conn); p.raw == nil {
 			return 0
 		}
-		raw, err := s.SyscallConn()
-		if err != nil {
-			return 0
-		}
-		p.raw, p.look = raw, p.read
+		p.look = p.read
 	}
 	p.count = 0
 	p.raw.Control(p.look)
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -30,9 +30,7 @@
 	c := &backendConn{Conn: conn, w: bufio.NewWriter(conn), home: home}
 	c.left = &io.LimitedReader{R: c}
 	c.r = bufio.NewReader(c.left)
-	if s, ok := conn.(syscall.Conn); ok {
-		c.raw, _ = s.SyscallConn()
-	}
+	c.raw = rawConn(conn)
 	c.look = func(fd uintptr) bool {
 		c.seen = peek(fd)
 		return !errors.Is(c.seen, syscall.EAGAIN)
@@ -40,6 +38,19 @@
 	return c
 }
 
+// rawConn returns the means to look at a connection's socket, or nil where there is none.
+func rawConn(conn net.Conn) syscall.RawConn {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // Read implements io.Reader. It also passes what it reads to the check for ambiguous
 // framing.
 func (c *backendConn) Read(p []byte) (int, error) {
@@ -107,12 +118,8 @@
 // unreadBytes reports whether bytes have come on a connection that nobody has read yet. It
 // may be called beside a read.
 func unreadBytes(conn net.Conn) bool {
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+	raw := rawConn(conn)
+	if raw == nil {
 		return false
 	}
 	unread := 0
