The queue of a listener is emptied by awaitRoom, not by a lock for each connection

extendQueue took the table's lock behind every accept, also where nothing stops. awaitRoom holds it before each accept anyway and sets the deadline of the next there; endQueue has one end. No behaviour changes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -240,7 +240,6 @@
 			continue
 		}
 		pause.reset()
-		l.extendQueue()
 		l.accepted.Add(1)
 		if conn := l.take(c); conn != nil {
 			// Who has a connection goes before who wants one.
@@ -268,32 +267,21 @@
 // accepting. Their requests may have been taken by this machine; closing the listener over
 // them would reset them. A queue that other processes have too is left to those.
 func (l *clients) endQueue() {
-	listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || l.shared {
-		l.Close()
-		return
-	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.last = true
+	l.last = !l.shared && l.awaitNext()
 	l.room.Broadcast()
-	listener.SetDeadline(time.Now().Add(queueWait))
-	for began := l.now(); !l.closed && l.now()-began < queueMost; {
+	for began := l.now(); l.last && !l.closed && l.now()-began < queueMost; {
 		l.wait(queueMost)
 	}
-	if !l.closed {
-		l.closed = true
-		l.Listener.Close()
-	}
+	l.mu.Unlock()
+	l.Close()
 }
 
-// extendQueue leaves time for the next connection of a queue that is emptied.
-func (l *clients) extendQueue() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.last && !l.closed {
-		listener.SetDeadline(time.Now().Add(queueWait))
-	}
+// awaitNext leaves time for the next connection of a queue that is emptied, and reports
+// whether the listener can. The caller holds mu.
+func (l *clients) awaitNext() bool {
+	listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && listener.SetDeadline(time.Now().Add(queueWait)) == nil
 }
 
 // queueEnded reports whether an error of Accept says that the last connection of the queue
@@ -329,8 +317,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.closed {
+		if l.last {
+			return l.awaitNext()
+		}
 		ok, look := l.table.Room(l.now())
-		if ok || l.last {
+		if ok {
 			return true
 		}
 		l.tellCrowd()
