--- a/rules/rules.go
+++ b/rules/rules.go
@@ -682,8 +682,7 @@
 		known := g.servers[b.ID] != nil
 		s := g.serverOf(b)
 		if !known || b.Born > s.Born {
-			g.resetColdStart(s) // a new process
-			s.warmsFrom = g.startOf(b)
+			g.resetColdStart(s, g.startOf(b)) // a new process
 		} else {
 			b.Born = s.Born
 		}
@@ -707,8 +706,7 @@
 	}
 	if s.banned = e.Offline; !s.banned {
 		s.Born = max(s.Born, g.now)
-		g.resetColdStart(s)
-		s.warmsFrom = g.now
+		g.resetColdStart(s, g.now)
 	}
 }
 
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -62,12 +62,12 @@
 	return s.budget >= 1
 }
 
-// resetColdStart forgets what was learnt of an earlier process. Each gateway has saved another part of a send
+// resetColdStart forgets what was learnt of an earlier process; the next warms from the given time on. Each gateway has saved another part of a send
 // for the new one, in an order that differs from backend to backend: with nothing saved, all would wait long for
 // their first and then come at once.
-func (g *Gateway) resetColdStart(s *server) {
+func (g *Gateway) resetColdStart(s *server, warmsFrom float64) {
 	fleet := uint64(max(g.set.Fleet, 1))
 	turn := (float64((hash(uint64(s.ID))+uint64(g.set.Rank))%fleet) + 0.5) / float64(fleet)
 	s.latency, s.fail, s.missed, s.trialGap = 0, 0, 0, 0
-	s.budget, s.budgetedAt = turn*g.share, g.now
+	s.budget, s.budgetedAt, s.warmsFrom = turn*g.share, g.now, warmsFrom
 }
