--- a/review/cmd/case1/main.go
+++ b/review/cmd/dropped-class/main.go
@@ -1,4 +1,4 @@
-// Case1 drops a class from a gateway's settings while bodies of requests of that class still arrive.
+// Dropped-class drops a class from a gateway's settings while bodies of requests of that class still arrive.
 package main
 
 import (
@@ -27,7 +27,7 @@
 	clientTime = 4000 // ms
 )
 
-var run = standins.Start("1")
+var run = standins.Start()
 
 func main() {
 	// The platform: discovery, counter and three backends.
--- a/review/standins/run.go
+++ b/review/standins/run.go
@@ -42,9 +42,14 @@
 	finished  bool
 }
 
-// Start begins a run whose record is in the folder review/NAME of the project. The working directory
-// must be the project's root.
-func Start(name string) *Run {
+// Start begins a run whose record is in the folder review/NAME of the project; NAME is the program's
+// only argument. The working directory must be the project's root.
+func Start() *Run {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "the number of the case is missing")
+		os.Exit(NotRun)
+	}
+	name := os.Args[1]
 	root, err := os.Getwd()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
