--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/gateway ] || { echo "build the project first" >&2; exit 2; }
-[ -x review/bin/stale-list ] || review/build.sh || exit 2
-exec review/bin/stale-list 3
+[ -x review/bin/dropped-class ] || review/build.sh || exit 2
+exec review/bin/dropped-class 3
