rules: a pending request has no index into the settings, so a reload cannot mislead it

With an index that is still in range, the client timeouts of another class were read and changed: a request was due after 0.3 s where its class has an aim of 0.8 s, and a client retry of the added class got 0.5 s though its aim was over.

Excluded: a class that LateWorth lets earn late does not reach the line; a request that is read before the reload and reaches the loop after it has ClassOverride; levels are remapped.

Change: pendingRequest no longer embeds Request. It keeps the values it needs, the class and the entry of the client timeouts that belongs to it, so there is no index left to use with another table. The old entry lives for as long as its requests and no longer affects the new settings.

Tests of rules and internal/gateway pass with the race detector.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -162,15 +162,8 @@
 
 // acceptRequest starts the processing of a request. Two timers ensure that it is answered in time.
 func (g *Gateway) acceptRequest(received Request) {
-	class, plan := received.ClassOverride, &g.settings.Plans[received.Plan]
-	if class == nil {
-		class = &g.settings.Classes[received.Class]
-	}
-	if received.Sent == 0 {
-		received.Sent = g.now
-	}
-	request := &pendingRequest{Request: received, class: class, level: g.levelOf(class.Worth * plan.Price)}
-	request.answerBy, request.maxAttempts = g.lastUsefulAnswer(request), max(g.settings.MaxAttempts, 1)
+	request := g.newPendingRequest(received)
+	request.answerBy = g.lastUsefulAnswer(request)
 	g.requests[received.ID] = request
 	g.arrivalCounts[request.level]++
 	quota := g.customerFor(received)
@@ -190,15 +183,16 @@
 	}
 	g.setTimer(request.answerBy-g.now, timerAnswerBy, 0, received.ID)
 	if len(request.attempts) == 0 {
-		g.setTimer(min(request.answerBy, received.Sent+class.Aim)-g.latency-g.now, timerSendBy, 0, received.ID)
+		sendBy := min(request.answerBy, request.sent+request.class.Aim) - g.latency
+		g.setTimer(sendBy-g.now, timerSendBy, 0, received.ID)
 	}
 }
 
 // lastUsefulAnswer returns the time after which an answer to the request earns nothing.
 func (g *Gateway) lastUsefulAnswer(request *pendingRequest) float64 {
-	latest := min(request.Deadline-2*g.settings.Tick, g.lastAnswerTime())
+	latest := min(request.deadline-2*g.settings.Tick, g.lastAnswerTime())
 	if class := request.class; class.LateWorth == 0 && class.AimStretch == 0 {
-		latest = min(latest, request.Sent+class.Aim-g.elapsedClientTime(request.Request, class))
+		latest = min(latest, request.sent+class.Aim-g.elapsedClientTime(request))
 	}
 	return latest
 }
@@ -210,12 +204,12 @@
 // A client retry whose aim has passed earns nothing, yet it takes units, a counter call and backend time
 // from requests that may still earn. A first request must not be mistaken for a client retry, so the result
 // is 0 until the usual timeout is known.
-func (g *Gateway) elapsedClientTime(received Request, class *Class) float64 {
-	if received.ClassOverride != nil {
-		return 0 // no statistics exist for a class that is no longer configured
+func (g *Gateway) elapsedClientTime(request *pendingRequest) float64 {
+	timeout := request.clientTimeout
+	if timeout == nil {
+		return 0
 	}
-	remaining, timeout := received.Deadline-received.Sent,
-		&g.clientTimeouts[received.Class*len(g.settings.Plans)+received.Plan]
+	remaining := request.deadline - request.sent
 	matches := func(other float64) bool { return math.Abs(remaining-other) < 2*g.settings.Tick }
 	if matches(timeout.last) {
 		timeout.known = remaining
@@ -224,7 +218,7 @@
 	if timeout.known == 0 || matches(timeout.known) {
 		return 0
 	}
-	return max(class.Deadline-remaining, 0)
+	return max(request.class.Deadline-remaining, 0)
 }
 
 // handleTimer processes an expired timer.
@@ -242,8 +236,8 @@
 		g.now+g.latency < request.answerBy:
 		// The units are spent already, and a late answer earns more than none. A request that is not yet
 		// admitted is rejected instead: its units go to a request that can still be in time.
-		g.setTimer(request.answerBy-g.now-g.latency, timerSendBy, 0, request.ID)
-	case request.BodyPending && len(request.attempts) > 0 && g.now < g.lastAnswerTime():
+		g.setTimer(request.answerBy-g.now-g.latency, timerSendBy, 0, request.id)
+	case request.bodyPending && len(request.attempts) > 0 && g.now < g.lastAnswerTime():
 		// BodyComplete sets the timers.
 	case !request.finished && !request.streaming &&
 		(kind == timerAnswerBy || kind == timerSendBy && len(request.attempts) == 0):
@@ -434,11 +428,11 @@
 	} else {
 		g.warmSends++
 	}
-	if request.BodyPending {
-		g.emit(Send{Request: request.ID, Backend: backend.ID, WriteDeadline: writeDeadline})
+	if request.bodyPending {
+		g.emit(Send{Request: request.id, Backend: backend.ID, WriteDeadline: writeDeadline})
 		return true
 	}
-	g.emit(Send{Request: request.ID, Backend: backend.ID, Timeout: max(request.answerBy-g.now, g.settings.Tick),
+	g.emit(Send{Request: request.id, Backend: backend.ID, Timeout: max(request.answerBy-g.now, g.settings.Tick),
 		WriteDeadline: writeDeadline})
 	g.trackAttempt(request, attemptCount)
 	return true
@@ -448,7 +442,7 @@
 func (g *Gateway) trackAttempt(request *pendingRequest, number int) {
 	g.countInFlight(&request.attempts[number], request.level)
 	if g.latency > 0 {
-		g.setTimer(g.overdueAfter(), timerOverdue, number, request.ID)
+		g.setTimer(g.overdueAfter(), timerOverdue, number, request.id)
 	}
 }
 
@@ -456,12 +450,12 @@
 // work for the backend and does not count against the concurrency limit.
 func (g *Gateway) completeBody(complete BodyComplete) {
 	request := g.activeRequest(complete.Request)
-	if request == nil || !request.BodyPending || len(request.attempts) == 0 {
+	if request == nil || !request.bodyPending || len(request.attempts) == 0 {
 		return
 	}
-	request.BodyPending, request.Sent, request.Deadline = false, g.now, complete.Deadline
+	request.bodyPending, request.sent, request.deadline = false, g.now, complete.Deadline
 	request.answerBy = g.lastUsefulAnswer(request)
-	g.setTimer(request.answerBy-g.now, timerAnswerBy, 0, request.ID)
+	g.setTimer(request.answerBy-g.now, timerAnswerBy, 0, request.id)
 	if last := len(request.attempts) - 1; !request.attempts[last].ended {
 		request.attempts[last].sent = g.now
 		request.mayHaveRunSince = g.now
@@ -526,7 +520,7 @@
 		g.reject(request, RejectedNoRetry)
 	}
 	if request.finished && request.outstanding == 0 {
-		delete(g.requests, request.ID)
+		delete(g.requests, request.id)
 	}
 	g.admit(request.customer)
 }
@@ -534,7 +528,7 @@
 // settleUnits corrects the leased units once the actual units of a request are known.
 func (g *Gateway) settleUnits(request *pendingRequest, units float64) {
 	if g.settings.UnitsEstimated && units > 0 {
-		request.customer.leasedUnits -= units - request.Units
+		request.customer.leasedUnits -= units - request.units
 	}
 }
 
@@ -597,9 +591,9 @@
 			retryAfter = min(retryAfter, max(request.customer.exhaustedUntil-g.now,
 				request.customer.backoffUntil-g.now, 0))
 		}
-		g.emit(Refuse{Request: request.ID, RetryAfter: retryAfter, Reason: reason})
+		g.emit(Refuse{Request: request.id, RetryAfter: retryAfter, Reason: reason})
 	} else {
-		g.emit(Fail{Request: request.ID, Reason: reason})
+		g.emit(Fail{Request: request.id, Reason: reason})
 	}
 	g.finish(request)
 }
@@ -610,16 +604,16 @@
 	request.customer.queued = slices.DeleteFunc(request.customer.queued,
 		func(other *pendingRequest) bool { return other == request })
 	if request.admitted && len(request.attempts) == 0 {
-		request.customer.leasedUnits += request.Units
+		request.customer.leasedUnits += request.units
 		request.customer.active--
 	}
 	for number := range request.attempts {
 		if !request.attempts[number].ended && g.settings.CanCancel && !request.streaming {
-			g.emit(Cancel{Request: request.ID, Attempt: number})
+			g.emit(Cancel{Request: request.id, Attempt: number})
 		}
 	}
 	if request.outstanding == 0 {
-		delete(g.requests, request.ID)
+		delete(g.requests, request.id)
 	}
 }
 
@@ -920,20 +914,20 @@
 		if limited {
 			g.advanceWindow(quota)
 			switch {
-			case quota.leasedUnits >= request.Units:
-				quota.leasedUnits -= request.Units
+			case quota.leasedUnits >= request.units:
+				quota.leasedUnits -= request.units
 				// With a counter that answers intermittently, leases and the local allowance would add
 				// up to more than the quota, so leased units count against the allowance too. It must
 				// not become negative: the customer will need it in the next outage of the counter.
 				quota.spendLocal(g.now, 0)
-				quota.localUnits = min(quota.localUnits, max(quota.localUnits-request.Units, 0))
+				quota.localUnits = min(quota.localUnits, max(quota.localUnits-request.units, 0))
 			case quota.unitCalls > 0:
 				return
 			case g.now < quota.exhaustedUntil:
 				g.reject(request, RejectedOverQuota)
 				continue
 			case !g.settings.Counter || g.now < quota.backoffUntil:
-				if !quota.spendLocal(g.now, request.Units) {
+				if !quota.spendLocal(g.now, request.units) {
 					if g.settings.Counter &&
 						(quota.terms.fewGateways || g.skipProbability() < maxQueueingSkipProbability) &&
 						quota.backoffUntil+g.latency < request.answerBy {
@@ -942,7 +936,7 @@
 					g.reject(request, RejectedNoCounter)
 					continue
 				}
-				quota.unreportedUnits += request.Units
+				quota.unreportedUnits += request.units
 			default:
 				g.requestLease(quota)
 				continue
@@ -1110,7 +1104,7 @@
 	}
 	needed := -quota.leasedUnits // negative leased units are a debt that this lease has to cover
 	for _, request := range quota.queued {
-		needed += request.Units
+		needed += request.units
 	}
 	needed = math.Ceil(max(needed, 0)) + math.Floor(quota.leaseSize())
 	fullTotal := g.advanceWindow(quota)
@@ -1119,7 +1113,7 @@
 	if quota.terms.tokenBucket && quota.knownTotal > 0 {
 		// Units beyond the allowance would need a correcting call.
 		available := quota.terms.allowance - max(quota.knownTotal-fullTotal, 0)
-		needed = min(needed, max(math.Floor(available), quota.queued[0].Units))
+		needed = min(needed, max(math.Floor(available), quota.queued[0].units))
 	}
 	call.requested = max(min(needed, quota.terms.allowance), 1)
 	if call.adjustment = max(fullTotal-quota.knownTotal, 0); !quota.terms.fewGateways {
@@ -1223,7 +1217,7 @@
 	}
 	unit := 1.0
 	if len(quota.queued) > 0 {
-		unit = max(quota.queued[0].Units, 1e-3)
+		unit = max(quota.queued[0].units, 1e-3)
 	}
 	available := quota.terms.allowance - (target - call.fullTotal)
 	grant := max(min(call.requested, math.Floor(available/unit+1e-3)*unit), 0)
--- a/rules/state.go
+++ b/rules/state.go
@@ -57,11 +57,17 @@
 	return count
 }
 
-// pendingRequest is a request from its arrival until its last attempt has ended.
+// pendingRequest is a request from its arrival until its last attempt has ended. It has no index into the
+// settings, since new settings may give an index another meaning.
 type pendingRequest struct {
-	Request
-	class                         *Class // when the request was received
-	maxAttempts                   int    // when the request was received
+	id                            RequestID
+	units                         float64
+	sent                          float64 // time at which the client sent it or, if later, its body was complete
+	deadline                      float64 // time at which the client stops waiting
+	bodyPending                   bool
+	class                         *Class         // when the request was received
+	clientTimeout                 *clientTimeout // of that class and plan; nil for a class that is no longer configured
+	maxAttempts                   int            // when the request was received
 	customer                      *customerQuota
 	level                         int
 	answerBy                      float64 // a later answer earns nothing
@@ -74,6 +80,28 @@
 	mayHaveRunOn                  *backendStatus // backend of that attempt
 }
 
+// newPendingRequest resolves the indexes of a request, which are those of the active settings.
+func (g *Gateway) newPendingRequest(received Request) *pendingRequest {
+	request := &pendingRequest{
+		id:          received.ID,
+		units:       received.Units,
+		sent:        received.Sent,
+		deadline:    received.Deadline,
+		bodyPending: received.BodyPending,
+		class:       received.ClassOverride,
+		maxAttempts: max(g.settings.MaxAttempts, 1),
+	}
+	if request.sent == 0 {
+		request.sent = g.now
+	}
+	if request.class == nil {
+		request.class = &g.settings.Classes[received.Class]
+		request.clientTimeout = &g.clientTimeouts[received.Class*len(g.settings.Plans)+received.Plan]
+	}
+	request.level = g.levelOf(request.class.Worth * g.settings.Plans[received.Plan].Price)
+	return request
+}
+
 // clientTimeout holds the client timeouts seen with one class and plan: the last one, and the usual one (0
 // if unknown).
 type clientTimeout struct{ last, known float64 }
