rules: a customer keeps its plan by name when a reload moves the plans

Seen in the new test before the change: two plans, a SIGHUP that puts a third before them and swaps them. When the other process of an upgrade ends, setProcessFraction gives a customer with 2 units a second the rate of the added plan, 500, until its next request. The state for a successor names plan 0 and 1 for customers of plan 2 and 1; its check compares the current names of the plans alone, so the successor takes them over with the wrong terms. A customer of a dropped plan was given whatever plan had its index. No process ends by this: the index was compared with the length.

Change: Plan has its name, a customer refers to its plan, applySettings moves the reference to the plan of the same name, and an export looks the index up. A customer of a dropped plan keeps the terms that it had, and is left out of an export, since no request of it can come any more. The encoded form of the state is as before.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -136,7 +136,7 @@
 			Scope: scope, DedupeWindow: class.WindowS, Streamed: class.Streamed})
 	}
 	for _, plan := range d.Packages {
-		settings.Plans = append(settings.Plans, rules.Plan{Price: plan.Pays, Rate: plan.UnitsPerS, Burst: plan.Depth,
+		settings.Plans = append(settings.Plans, rules.Plan{Name: plan.Name, Price: plan.Pays, Rate: plan.UnitsPerS, Burst: plan.Depth,
 			MaxConcurrent: int(plan.AtOnce), OverQuotaWorth: plan.OverWorth, OverQuotaCost: plan.BeyondCosts,
 			CeilingRate: plan.NeverOverRate, CeilingBurst: plan.CeilingBurst, CeilingSlack: plan.CapSlack})
 	}
--- a/rules/drive_test.go
+++ b/rules/drive_test.go
@@ -15,7 +15,7 @@
 	return Settings{
 		Classes: []Class{{Aim: 0.8, Deadline: 2, Worth: 1},
 			{Aim: 1, Deadline: 3, Worth: 3, Effect: ByKey, Scope: ScopeCell, DedupeWindow: 2}},
-		Plans: []Plan{{Price: 0.5, Rate: 2, Burst: 4, OverQuotaCost: 1}, {Price: 1.5, Rate: 20, Burst: 40, OverQuotaCost: 1}},
+		Plans: []Plan{{Name: "basic", Price: 0.5, Rate: 2, Burst: 4, OverQuotaCost: 1}, {Name: "plus", Price: 1.5, Rate: 20, Burst: 40, OverQuotaCost: 1}},
 		Fleet: 2, Tick: 0.002, Counter: true, CounterTimeout: 0.05,
 		CanCancel: true, CanHedge: true, MaxRetryAfter: 0.5, MaxAttempts: 4, AnswerSlack: 0.008,
 		DrainGrace: 1, InitialColdFraction: 0.2, ColdDuration: 10, OverloadMultiple: 2, OverloadDuration: 2,
--- a/rules/reload_test.go
+++ b/rules/reload_test.go
@@ -83,3 +83,40 @@
 		t.Errorf("a client retry of the added class whose aim is over was refused as %v, want %v", refused.Reason, RejectedTooLate)
 	}
 }
+
+// Guards against quotas by the terms of another plan after a reload has moved plans: in the division of
+// allowances between two processes, and in the state for a successor.
+func TestReloadKeepsPlansOfCustomers(t *testing.T) {
+	settings := testSettings()
+	harness := newHarness(t, settings, readyBackends(2)...)
+	harness.request(0, 0, 1)
+	harness.request(0, 1, 2)
+	next := testSettings()
+	next.Plans = []Plan{{Name: "added", Price: 1, Rate: 500, Burst: 1000}, next.Plans[1], next.Plans[0]}
+	harness.handle(ApplySettings{Settings: next})
+	actions := harness.handle(Export{})
+	plans := map[CustomerID]int{}
+	for _, record := range onlyAction[Exported](t, actions).Snapshot.Customers {
+		plans[record.ID] = record.Plan
+	}
+	if plans[1] != 2 || plans[2] != 1 {
+		t.Errorf("exported with plans %v, want 2 for customer 1 and 1 for customer 2", plans)
+	}
+	harness.handle(SiblingAbsent)
+	for customer, plan := range map[CustomerID]Plan{1: settings.Plans[0], 2: settings.Plans[1]} {
+		if terms := harness.gateway.customers[customer].terms; terms.rate != plan.Rate {
+			t.Errorf("customer %d has a rate of %g, want %g", customer, terms.rate, plan.Rate)
+		}
+	}
+	// Customers of a dropped plan keep its terms, and a successor does not get their state.
+	next.Plans = next.Plans[:2]
+	harness.handle(ApplySettings{Settings: next})
+	harness.handle(SiblingServing)
+	if terms := harness.gateway.customers[1].terms; terms.rate != settings.Plans[0].Rate {
+		t.Errorf("a customer of a dropped plan has a rate of %g, want %g", terms.rate, settings.Plans[0].Rate)
+	}
+	records := onlyAction[Exported](t, harness.handle(Export{})).Snapshot.Customers
+	if len(records) != 1 || records[0].ID != 2 || records[0].Plan != 1 {
+		t.Errorf("exported %+v, want customer 2 alone, with plan 1", records)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -150,11 +150,7 @@
 	case OperatorOverride:
 		g.overrideBackend(typed)
 	case ApplySettings:
-		// Leases, backend statistics and the concurrency limit remain. Pending requests keep their class.
-		worths := g.worths
-		g.settings = typed.Settings
-		g.computeLevels()
-		g.remapLevels(worths)
+		g.applySettings(typed.Settings)
 	}
 	g.dispatch()
 	return g.actions
@@ -894,9 +890,9 @@
 	}
 	fleet := max(g.settings.Fleet, 1)
 	index := (g.settings.Rank - received.FirstGateway + fleet) % fleet // position among the customer's gateways
-	quota.planIndex, quota.gateways, quota.index = received.Plan, received.GatewayCount,
-		max(min(index, received.GatewayCount-1), 0)
-	quota.terms = g.computeTerms(&g.settings.Plans[received.Plan], quota.gateways, quota.index)
+	quota.plan, quota.gateways = &g.settings.Plans[received.Plan], received.GatewayCount
+	quota.index = max(min(index, received.GatewayCount-1), 0)
+	quota.terms = g.computeTerms(quota.plan, quota.gateways, quota.index)
 	quota.demand = quota.demand*math.Exp(-(g.now-quota.lastSeen)/demandTimeConstant) +
 		received.Units/demandTimeConstant
 	quota.lastSeen = g.now
--- a/rules/state.go
+++ b/rules/state.go
@@ -176,9 +176,9 @@
 // customerQuota is the quota state of one customer at this gateway.
 type customerQuota struct {
 	id                        CustomerID
-	planIndex                 int // the terms derive from planIndex, gateways and index
-	gateways                  int // number of gateways that serve the customer
-	index                     int // position of this gateway among them
+	plan                      *Plan // the terms derive from plan, gateways and index
+	gateways                  int   // number of gateways that serve the customer
+	index                     int   // position of this gateway among them
 	terms                     quotaTerms
 	lastSeen, demand          float64           // time of the last request, and units per second at this gateway
 	active                    int               // admitted requests in progress, and their additional attempts
@@ -289,6 +289,25 @@
 	return min(level, len(g.worths)-1)
 }
 
+// planIndex returns the index of the plan with this name, or -1 if there is none.
+func (s *Settings) planIndex(name string) int {
+	return slices.IndexFunc(s.Plans, func(plan Plan) bool { return plan.Name == name })
+}
+
+// applySettings replaces the settings. Leases, backend statistics and the concurrency limit remain. Pending
+// requests keep their class, and customers whose plan is no longer configured keep the terms of that plan.
+func (g *Gateway) applySettings(settings Settings) {
+	worths := g.worths
+	g.settings = settings
+	g.computeLevels()
+	g.remapLevels(worths)
+	for _, quota := range g.customerList {
+		if index := g.settings.planIndex(quota.plan.Name); index >= 0 {
+			quota.plan = &g.settings.Plans[index]
+		}
+	}
+}
+
 // remapLevels converts all state by level from the levels of the previous worths to the current ones.
 func (g *Gateway) remapLevels(worths []float64) {
 	newLevel := make([]int, len(worths))
--- a/rules/transfer.go
+++ b/rules/transfer.go
@@ -20,12 +20,16 @@
 				ColdBudget:    backend.coldBudget, ColdBudgetAt: backend.coldBudgetAt, ColdSince: backend.coldSince})
 	}
 	for _, quota := range g.customerList {
+		planIndex := g.settings.planIndex(quota.plan.Name)
+		if planIndex < 0 {
+			continue // no longer configured: the sibling process takes no requests of the customer
+		}
 		quota.spendLocal(g.now, 0)
 		quota.localUnits /= 2
 		handedOver := math.Floor(max(quota.leasedUnits, 0) / 2)
 		quota.leasedUnits -= handedOver
 		snapshot.Customers = append(snapshot.Customers,
-			CustomerRecord{ID: quota.id, Plan: quota.planIndex, Gateways: quota.gateways,
+			CustomerRecord{ID: quota.id, Plan: planIndex, Gateways: quota.gateways,
 				Index: quota.index, Demand: quota.demand / 2, LastSeen: quota.lastSeen, Units: handedOver,
 				Expires: quota.leaseExpires, LeaseWindow: quota.leaseWindow,
 				Window: quota.window, KnownTotal: quota.knownTotal, TotalReceived: quota.totalReceived,
@@ -58,7 +62,7 @@
 		if record.Plan >= len(g.settings.Plans) || g.customers[record.ID] != nil {
 			continue
 		}
-		quota := &customerQuota{id: record.ID, planIndex: record.Plan, gateways: record.Gateways, index: record.Index,
+		quota := &customerQuota{id: record.ID, plan: &g.settings.Plans[record.Plan], gateways: record.Gateways, index: record.Index,
 			demand: record.Demand, lastSeen: record.LastSeen,
 			leasedUnits: record.Units, leaseExpires: record.Expires, leaseWindow: record.LeaseWindow, window: record.Window,
 			knownTotal: record.KnownTotal, totalReceived: record.TotalReceived,
@@ -75,9 +79,7 @@
 func (g *Gateway) setProcessFraction(fraction float64) {
 	g.processFraction = fraction
 	for _, quota := range g.customerList {
-		if quota.planIndex < len(g.settings.Plans) {
-			quota.terms = g.computeTerms(&g.settings.Plans[quota.planIndex], quota.gateways, quota.index)
-		}
+		quota.terms = g.computeTerms(quota.plan, quota.gateways, quota.index)
 	}
 }
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -52,6 +52,7 @@
 
 // Plan describes the quota that a customer has bought. A rate or limit of 0 means unlimited.
 type Plan struct {
+	Name           string  // unique among the plans; a reload may change a plan's index, but not its name
 	Price          float64 // factor on the worth of a request
 	Rate           float64 // units per second
 	Burst          float64 // capacity of the quota's token bucket, units
