gateway: the number of a zone stays the same over reloads

A backend's zone was its index in the localities of the settings under which its entry of the list was read, and a reload reads the list again only when discovery has moved.

Seen in the new test before the change: one backend in zone a, a SIGHUP that turns the localities ["a", "b"] into ["b", "a"], then a change of the list with a backend in zone b. Both have the number 0. A request of a class whose key is known within a zone, and whose first attempt broke, is sent again to the backend in zone b, which does not know the key: it may run twice.

Change: the loop gives each zone name a number at its first appearance and keeps it (zoneNumbers); the gateway's own zone goes the same way. A name that the active settings lack is still refused. Kinds of backends have an index too, but no decision reads it.

Test: TestReloadKeepsZonesApart, failed before ("sent again in a zone whose backends do not know its key"), 10 of 10 with the race detector since. Tests of internal/gateway, internal/scale and cmd/gateway pass with the race detector.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -94,8 +94,9 @@
 	live           map[rules.RequestID]*exchange // requests until they have a response and no attempt in flight
 	nextID         rules.RequestID
 	instances      map[rules.BackendID]Instance // on the current list
-	name           string                       // of the gateway
-	listHistory    string                       // of the list that was applied last
+	zones          zoneNumbers
+	name           string // of the gateway
+	listHistory    string // of the list that was applied last
 	listVersion    int64
 	subset         *backendSubset           // nil: all listed backends are used
 	offline        map[rules.BackendID]bool // operator overrides that this process knows
@@ -116,14 +117,15 @@
 func newLoop(config *Config, service *serviceConfig, metrics *metrics, pools *pools, counter *counter, onListApplied func()) *Loop {
 	loop := &Loop{clock: newClock(), service: service, metrics: metrics, pools: pools, counter: counter, onListApplied: onListApplied,
 		resubscribe: make(chan struct{}, 1), inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, name: config.Name, offline: map[rules.BackendID]bool{}}
+		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, zones: zoneNumbers{}, name: config.Name, offline: map[rules.BackendID]bool{}}
 	if config.Members.Enabled {
 		loop.contact = &counterContact{}
 	}
 	if loop.subset = newBackendSubset(config.Name, config.Scopes.subset, metrics.subset); loop.subset != nil {
 		loop.offlineOutside = map[string]bool{}
 	}
-	loop.gateway, loop.actions = rules.New(config.Settings, config.Seed, loop.clock.now(), nil)
+	loop.zones.assign(service.Zones)
+	loop.gateway, loop.actions = rules.New(loop.activeSettings(), config.Seed, loop.clock.now(), nil)
 	loop.execute(loop.actions)
 	return loop
 }
@@ -228,6 +230,7 @@
 		message.known <- l.applyOverride(message.id, message.offline)
 	case settingsChanged:
 		l.service = message.service
+		l.zones.assign(l.service.Zones)
 		l.handle(rules.ApplySettings{Settings: l.activeSettings()})
 		l.resizeSubset(message.subset)
 	case listUpdate:
@@ -402,6 +405,7 @@
 			log.Printf("discovery: instances %q and %q have one id; the second is left out", existing.ID, instance.ID)
 			continue
 		}
+		backend.Zone = l.zones.number(instance.Zone)
 		listed[backend.ID] = true
 		event.Entries = append(event.Entries, backend)
 		if l.instances[backend.ID] = instance; backend.State == rules.Gone {
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bufio"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against the end of the process, and with it the loss of all requests in progress, when a
@@ -45,3 +47,37 @@
 		t.Errorf("a request of a class that stays: status %d", resp.StatusCode)
 	}
 }
+
+// Guards against a repeat in another zone, whose backends do not know the key of the request, after a
+// reload has moved the zones: a change of the list is read under the new settings, the rest of the
+// list under the earlier ones.
+func TestReloadKeepsZonesApart(t *testing.T) {
+	t.Parallel()
+	first, other := newTestServer(t), newTestServer(t)
+	byZone := func(config string) string {
+		return strings.Replace(config, `"keyScope": "cell"`, `"keyScope": "zone"`, 1)
+	}
+	gateway := newTestGatewayWith(t, byZone, first)
+	_, responses := gateway.request(t, requestText("POST", "booking", "pickup"))
+	conn, reader := first.accept(t)
+	readRequest(t, reader)
+	gateway.reload(t, byZone(strings.Replace(testSettings, `"localities": ["a", "b"]`, `"localities": ["b", "a"]`, 1)))
+	gateway.awaitMetrics(t, "app.loads:1|c")
+	added := newListing(false, "Ready", other)
+	added.Generation, added.Instances[0].Zone = 2, "b"
+	gateway.discovery.answers <- added
+	gateway.awaitMetrics(t, "app.known_backends:2|g")
+	conn.Close() // the request may have run
+	select {
+	case <-other.conns:
+		t.Fatal("sent again in a zone whose backends do not know its key")
+	case repeat := <-first.conns:
+		readRequest(t, bufio.NewReader(repeat))
+		io.WriteString(repeat, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	case <-time.After(testTimeout):
+		t.Fatal("not sent again")
+	}
+	if resp := wait(t, responses, "response"); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want 200", resp.StatusCode)
+	}
+}
--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -233,9 +233,11 @@
 	return known - skipped
 }
 
-// activeSettings returns the active settings of the module, adjusted to the current subset.
+// activeSettings returns the active settings of the module, adjusted to the current subset and with
+// the number by which the module knows the gateway's zone.
 func (l *Loop) activeSettings() rules.Settings {
 	settings := l.service.Settings
+	settings.Zone = l.zones.numberAt(l.service.Zones, settings.Zone)
 	if l.subset != nil {
 		settings.GatewaysPerBackend = l.subset.gatewaysPerBackend
 	}
