--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -33,7 +33,8 @@
 	// HeadGrace is how long a connection may stay in state Head before it may be evicted.
 	HeadGrace = time.Second
 
-	// openingDivisor limits the New and Head connections of one source to 1/2 of the places.
+	// openingDivisor limits the New and Head connections of one source to 1/2 of the places:
+	// a client that has a request sends it.
 	openingDivisor = 2
 	// reserveDivisor keeps 1/8 of the places free or idle for sources below their share,
 	// since the Busy connections of the others cannot be evicted.
--- a/internal/gateway/standing.go
+++ b/internal/gateway/standing.go
@@ -17,7 +17,7 @@
 	registrySilenceLimit = 10 * time.Second // without an answer of any service registry; a watch takes 4 s
 	counterSilenceLimit  = 3 * time.Second  // without an answer of the counter, if it was called within counterCallWindow
 	counterCallWindow    = 10 * time.Second
-	viewDifferenceLimit  = 30 * time.Second // membership views may differ for some seconds after each change
+	viewDifferenceLimit  = 30 * time.Second // views differ for some seconds after each change, and longer only if they cannot meet
 )
 
 // connectivity observes whether the gateway reaches the other gateways, the service registries and
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -225,8 +225,9 @@
 	case !p.indirect && now >= p.startedAt+n.stretch(directProbeTimeout):
 		n.probeIndirectly(p)
 	case p.indirect && now >= p.nextPing && now < p.deadline:
-		// The additional pings keep false suspicions rare under heavy loss. Frequent ones
-		// would spread faster than their refutations.
+		// With three in ten datagrams lost, two pings and three helpers fail one time in nine,
+		// with six more pings one time in 500. At the higher rate suspicions would spread
+		// faster than their refutations.
 		p.nextPing += n.stretch(pingRetryInterval)
 		n.sendEntries(p.target, datagram{kind: ping, sequence: p.sequence, subject: p.target}, n.entryToRefute(p.target))
 	}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -21,7 +21,9 @@
 
 const (
 	// watchWait and followerWatchWait bound the duration of a watch by a reader and by a
-	// follower. Together with staleAge they keep a reader from missing a change for 6 s.
+	// follower. Together with staleAge they keep a reader from missing a change for 6 s
+	// (the sum is in docs/design.md): a follower answers at least this often, or its age tells its
+	// readers that it receives nothing from its writer.
 	watchWait         = 1500 * time.Millisecond
 	followerWatchWait = time.Second
 
--- a/internal/subset/health.go
+++ b/internal/subset/health.go
@@ -5,12 +5,12 @@
 // Delays before a subset is widened or narrowed.
 const (
 	// sickDelay is how long fewer than half must be usable before the first widening. It exceeds a short
-	// series of failures, as when a switch restarts.
+	// series of failures, as when a switch restarts; clients wait longer than that.
 	sickDelay = 3 * time.Second
 	// lostDelay replaces sickDelay while no instance is usable.
 	lostDelay = time.Second
 	// healthyDelay is how long a widened subset must be healthy before it is narrowed by one step, which
-	// moves connections.
+	// moves connections. A zone that comes back does so within minutes.
 	healthyDelay = 5 * time.Minute
 	// maxDelayDoublings limits the doublings of sickDelay and lostDelay, one for each widening. All members
 	// widen together under a common overload, where more instances help little.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,11 +13,12 @@
 	"slices"
 )
 
-// Parameters of the decisions. Durations and time constants are in seconds.
+// Parameters of the decisions. Durations and time constants are in seconds. Each value holds for any
+// deployment.
 const (
 	// Concurrency limit.
 	initialLimit         = 4.0  // attempts in flight per backend, divided among the gateways
-	minLimitPerBackend   = 3.0  // attempts in flight per backend, divided among the gateways
+	minLimitPerBackend   = 3.0  // the same; if all backends are slow, their cores still need work
 	limitCutFactor       = 0.75 // applied when the pressure exceeds limitCutPressure
 	limitCutPressure     = 0.38 // latency as a fraction of the aim above which the limit shrinks
 	limitGrowPressure    = 0.28 // latency as a fraction of the aim below which the limit may grow
@@ -28,9 +29,9 @@
 	topWorthFraction     = 0.5  // levels worth at least this fraction of the highest are top levels
 
 	// Leases on the shared counter.
-	maxFewGateways        = 4.0 // up to this many gateways per customer, each reports refill with its calls
-	refillLagFraction     = 0.5 // fraction of the allowance up to which refill may stay unreported
-	bucketWindow          = 50.0
+	maxFewGateways        = 4.0  // up to this many gateways per customer, each reports refill with its calls
+	refillLagFraction     = 0.5  // fraction of the allowance up to which refill may stay unreported
+	bucketWindow          = 50.0 // the counter keeps a name for 60 s at most
 	lowBucketFraction     = 0.5  // fraction of the allowance in use above which idle units are returned at once
 	minCorrection         = 0.25 // smallest correction of a total worth a call, units
 	counterTTL            = 60.0 // must exceed the longest window
@@ -82,7 +83,7 @@
 	idleConnectionMargin      = 1.0 // time before the backend's idle timeout in which a connection is not used
 
 	initialDiscoveryBackoff = 1.0 // doubles; the delay is randomized between half and twice this value
-	maxDiscoveryBackoff     = 1.8
+	maxDiscoveryBackoff     = 1.8 // a longer one would delay the list once discovery is back
 	housekeepingInterval    = 0.05
 	rejectionLogInterval    = 1.0
 	customerIdleTimeout     = 60.0 // state of a customer without requests is dropped after it
@@ -846,8 +847,8 @@
 		terms.refillLag = lagFraction * terms.allowance
 	}
 	if !terms.fewGateways && terms.maxConcurrent > 0 {
-		// With many gateways, leases of slots need two calls per request. The rate that the slots allow
-		// on average is limited instead.
+		// With many gateways, leases of slots need two calls per request, and slots strand. The rate that
+		// the slots allow on average is limited instead.
 		if terms.maxConcurrent = 0; terms.rate == 0 && g.latency > 0 {
 			terms.rate = slotUtilization * float64(plan.MaxConcurrent) / g.latency
 			terms.tokenBucket, terms.window = false, slotRateWindow // the rate changes with latency
@@ -1102,12 +1103,13 @@
 	for _, request := range quota.queued {
 		needed += request.units
 	}
+	// The size is rounded down, since other gateways lack a unit that nobody uses here.
 	needed = math.Ceil(max(needed, 0)) + math.Floor(quota.leaseSize())
 	fullTotal := g.advanceWindow(quota)
 	call := counterCall{customer: quota, name: quota.counterName, window: quota.window, fullTotal: fullTotal,
 		spentUnits: quota.unreportedUnits, returned: g.takeIdleUnits(quota)}
 	if quota.terms.tokenBucket && quota.knownTotal > 0 {
-		// Units beyond the allowance would need a correcting call.
+		// Units beyond the allowance would need a correcting call, or be lost if the reply to this one is.
 		available := quota.terms.allowance - max(quota.knownTotal-fullTotal, 0)
 		needed = min(needed, max(math.Floor(available), quota.queued[0].units))
 	}
