--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -7,23 +7,27 @@
 	"testing"
 )
 
-// rules.go stays within its limits on length.
+// The files that decide stay within their limits on length.
 func TestSourceSize(t *testing.T) {
-	text, err := os.ReadFile("rules.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines := 0
-	for i, l := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(l) != "" {
-			lines++
+	const maxLineLength, maxLines = 110, 300 // lines that are not blank
+	for _, name := range []string{"attempts.go", "backends.go", "concurrency_limit.go", "leases.go", "queue.go", "quota.go",
+		"rules.go", "selection.go", "slots.go", "slow_start.go", "stop.go", "transfer.go"} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if len(l) > 110 {
-			t.Errorf("rules.go:%d: %d characters, want at most 110", i+1, len(l))
+		lines := 0
+		for i, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if len(line) > maxLineLength {
+				t.Errorf("%s:%d: %d characters, want at most %d", name, i+1, len(line), maxLineLength)
+			}
+		}
+		if lines > maxLines {
+			t.Errorf("%s: %d lines that are not blank, want at most %d", name, lines, maxLines)
 		}
-	}
-	if lines > 1200 {
-		t.Errorf("rules.go: %d lines that are not blank, want at most 1200", lines)
 	}
 }
 
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -42,7 +42,8 @@
 // capacityFraction returns the fraction of its capacity that a backend has reached in its slow start; 1
 // once it is warm.
 func (g *Gateway) capacityFraction(backend *backendStatus) float64 {
-	if backend.coldSince == 0 || g.settings.ColdDuration <= 0 || g.now-backend.coldSince >= g.settings.ColdDuration {
+	if backend.coldSince == 0 || g.settings.ColdDuration <= 0 ||
+		g.now-backend.coldSince >= g.settings.ColdDuration {
 		return 1
 	}
 	progress := max(g.now-backend.coldSince, 0) / g.settings.ColdDuration
--- a/rules/transfer.go
+++ b/rules/transfer.go
@@ -5,6 +5,12 @@
 
 import "math"
 
+// Division of the local allowances between the two processes of a gateway.
+const (
+	handOverFraction = 0.5 // fraction of the gateway's local allowances for each of two sibling processes
+	drainingFraction = 0.2 // the same for a process that accepts no more clients
+)
+
 // exportState writes the state for a sibling process and divides leases and local allowances between the
 // two. Anything that stayed in both states would be spent twice.
 func (g *Gateway) exportState() {
@@ -62,13 +68,26 @@
 		if record.Plan >= len(g.settings.Plans) || g.customers[record.ID] != nil {
 			continue
 		}
-		quota := &customerQuota{id: record.ID, plan: &g.settings.Plans[record.Plan], gateways: record.Gateways, index: record.Index,
-			demand: record.Demand, lastSeen: record.LastSeen,
-			leasedUnits: record.Units, leaseExpires: record.Expires, leaseWindow: record.LeaseWindow, window: record.Window,
-			knownTotal: record.KnownTotal, totalReceived: record.TotalReceived,
-			counterName: windowName(record.ID, record.Window), exhaustedUntil: record.ExhaustedUntil,
-			backoff: record.Backoff, backoffUntil: record.BackoffUntil,
-			localUnits: record.LocalUnits, localUnitsAt: record.LocalUnitsAt}
+		quota := &customerQuota{
+			id:             record.ID,
+			plan:           &g.settings.Plans[record.Plan],
+			gateways:       record.Gateways,
+			index:          record.Index,
+			demand:         record.Demand,
+			lastSeen:       record.LastSeen,
+			leasedUnits:    record.Units,
+			leaseExpires:   record.Expires,
+			leaseWindow:    record.LeaseWindow,
+			window:         record.Window,
+			knownTotal:     record.KnownTotal,
+			totalReceived:  record.TotalReceived,
+			counterName:    windowName(record.ID, record.Window),
+			exhaustedUntil: record.ExhaustedUntil,
+			backoff:        record.Backoff,
+			backoffUntil:   record.BackoffUntil,
+			localUnits:     record.LocalUnits,
+			localUnitsAt:   record.LocalUnitsAt,
+		}
 		g.customers[record.ID] = quota
 		g.customerList = append(g.customerList, quota)
 	}
