gateway: a connection rests before its next request at the limit of connections too

Cause: pools.acquire skips the rest of 50 ms, after which alive can see a second answer, where openCount has reached maxOpen. openCount has idle connections in it, so that is the usual state of a gateway that is well used. From then on the connection is one answer behind. Excluded: the framing of answers and the buffered reader, which a connection with unread bytes does not pass.

Change: at the limit an attempt takes the connection of its backend that has rested longest, waits for the rest of the 50 ms, and closes it for a new one if bytes have come. An abort gives it back, a retired backend gets nothing. acquire is divided into takeSettled, awaitSettled and open.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -42,6 +42,16 @@
 	return pool
 }
 
+// addIdle adds a connection to the idle ones, at its place in the order of last use. The caller
+// holds the lock of the pools.
+func (p *backendPool) addIdle(conn *backendConn) {
+	place := len(p.idle)
+	for place > 0 && p.idle[place-1].idleSince.After(conn.idleSince) {
+		place--
+	}
+	p.idle = slices.Insert(p.idle, place, conn)
+}
+
 // pools holds the connections to all backends. It is safe for concurrent use.
 type pools struct {
 	connectTimeout time.Duration
@@ -143,40 +153,91 @@
 )
 
 // acquire returns an idle connection to the backend, or dials a new one.
+//
+// A backend may send surplus bytes some milliseconds after a response. On a connection that is
+// reused they would be taken for the next response, so a connection is used again only once it
+// has settled, when alive detects them. At the limit of connections acquire waits for that.
 func (p *pools) acquire(ctx context.Context, id rules.BackendID) (*backendConn, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	pool := p.byBackend[id]
 	if pool == nil {
-		p.mu.Unlock()
 		return nil, errNoConn
 	}
-	// A backend may send surplus bytes some milliseconds after a response. On a reused
-	// connection they would be taken for the next response; on one that settles first, alive
-	// detects them. A connection is reused at once only if the limit allows no new one.
+	if conn := p.takeSettled(pool); conn != nil {
+		return conn, nil
+	}
+	if p.openCount >= p.maxOpen && len(pool.idle) > 0 {
+		if conn, err := p.awaitSettled(ctx, pool); conn != nil || err != nil {
+			return conn, err
+		}
+	}
+	if p.openCount >= p.maxOpen {
+		return nil, errConnLimit
+	}
+	return p.open(ctx, pool)
+}
+
+// takeSettled returns the most recently used of the settled idle connections of a pool that are
+// alive, or nil if there is none. The caller holds mu.
+func (p *pools) takeSettled(pool *backendPool) *backendConn {
 	for i := len(pool.idle) - 1; i >= 0; i-- {
 		conn := pool.idle[i]
-		if conn.idleFor = time.Since(conn.idleSince); conn.idleFor < p.settle && p.openCount < p.maxOpen {
+		if time.Since(conn.idleSince) < p.settle {
 			continue
 		}
 		pool.idle = slices.Delete(pool.idle, i, i+1)
-		if conn.idleFor < p.idleLimit && alive(conn.Conn) {
-			conn.idleSince = time.Time{}
-			p.mu.Unlock()
-			return conn, nil
+		if p.beginUse(conn) {
+			return conn
 		}
+	}
+	return nil
+}
+
+// awaitSettled waits until the connection of a pool that has been idle longest has settled, and
+// returns it. It returns nil without an error if that connection turns out to be unusable. The
+// caller holds mu, which is released during the wait.
+func (p *pools) awaitSettled(ctx context.Context, pool *backendPool) (*backendConn, error) {
+	conn := pool.idle[0]
+	pool.idle = slices.Delete(pool.idle, 0, 1) // no other attempt may wait for it
+	p.mu.Unlock()
+	settled := sleepFor(ctx, p.settle-time.Since(conn.idleSince))
+	p.mu.Lock()
+	switch {
+	case pool.retired:
 		conn.Close()
 		p.forget(conn)
+		return nil, errNoConn
+	case !settled:
+		pool.addIdle(conn)
+		return nil, ctx.Err()
+	case p.beginUse(conn):
+		return conn, nil
 	}
-	if p.openCount >= p.maxOpen {
-		p.mu.Unlock()
-		return nil, errConnLimit
+	return nil, nil
+}
+
+// beginUse marks a settled connection as in use. It returns false, and closes the connection, if
+// the connection has been idle too long or is not alive. The caller holds mu.
+func (p *pools) beginUse(conn *backendConn) bool {
+	conn.idleFor = time.Since(conn.idleSince)
+	if conn.idleFor < p.idleLimit && alive(conn.Conn) {
+		conn.idleSince = time.Time{}
+		return true
 	}
+	conn.Close()
+	p.forget(conn)
+	return false
+}
+
+// open dials a connection. The caller holds mu, which is released during the dial, and has
+// checked the limit of connections.
+func (p *pools) open(ctx context.Context, pool *backendPool) (*backendConn, error) {
 	p.openCount++
 	connectTimeout := p.connectTimeout
 	p.mu.Unlock()
 	conn, err := p.dialWithRetry(ctx, pool, connectTimeout)
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if err == nil && pool.retired {
 		conn.Close()
 		err = errNoConn
@@ -221,7 +282,7 @@
 		return
 	}
 	conn.idleSince = time.Now()
-	conn.pool.idle = append(conn.pool.idle, conn)
+	conn.pool.addIdle(conn)
 }
 
 // discard closes a connection that must not be reused.
