registry: a promoted follower notifies every writer that it has replaced, also after restarts

Cause: Follower.source was the writer's address at the start; SetSource, which SIGHUP calls, changed the address that is replicated and not that one, so the second promoted follower notified the first writer and not the one that it replaced.

Change: the follower keeps the addresses of the writers that it has replicated, 16 at most, the promotion record holds them (Begin.Replaced), and the writer notifies each until that succeeds, also from each start on. Earlier writers are notified too, since one may have been away over two promotions. Related: setWriter holds the lock, so that a SIGHUP which crosses the promotion names no writer again, and SetSource returns after a promotion (by reading; neither was seen). A list that a group takes over has no such addresses.

Callers of PromotionRecord in tests pass no addresses.

--- a/internal/registry/agreed.go
+++ b/internal/registry/agreed.go
@@ -212,7 +212,7 @@
 	var lines [][]byte
 	for _, record := range source.SnapshotRecords() {
 		if record.Begin != nil {
-			record.Begin.Writer = false
+			record.Begin.Writer, record.Begin.Replaced = false, nil
 		}
 		lines = append(lines, encodeRecord(record))
 	}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,8 +22,24 @@
 	*Server
 	client   *Client
 	sources  chan []string
-	source   string        // address of the writer that it was started to replicate
 	promoted chan struct{} // closed at the promotion
+
+	// formerWriters holds the addresses of the writers that it has replicated, the latest last. A
+	// promotion replaces all of them: an earlier one may not know yet that it was replaced. The
+	// lock of the Server guards it.
+	formerWriters []string
+}
+
+// maxFormerWriters is the maximum number of writers that a promoted follower notifies.
+const maxFormerWriters = 16
+
+// addFormerWriter records a writer that the follower replicates. The caller holds f.mu.
+func (f *Follower) addFormerWriter(address string) {
+	others := slices.DeleteFunc(f.formerWriters, func(other string) bool { return other == address })
+	f.formerWriters = append(others, address)
+	if excess := len(f.formerWriters) - maxFormerWriters; excess > 0 {
+		f.formerWriters = f.formerWriters[excess:]
+	}
 }
 
 // NewFollower returns a Follower of the writer at an address. persisted is the copy of an
@@ -35,7 +52,8 @@
 		store = newStore(limits, 0)
 		store.gatheringUntil = math.MaxInt64
 	}
-	follower := &Follower{Server: NewWriter(selfAddress, store, serverLimits, startedAt, random), sources: make(chan []string), source: writer, promoted: make(chan struct{})}
+	follower := &Follower{Server: NewWriter(selfAddress, store, serverLimits, startedAt, random), sources: make(chan []string), promoted: make(chan struct{})}
+	follower.addFormerWriter(writer)
 	follower.client = NewClient([]string{writer}, rand.New(rand.NewPCG(random.Uint64(), 1)), follower.applyUpdate)
 	follower.client.watchWait = followerWatchWait
 	follower.ageMs = func() int64 {
@@ -51,12 +69,16 @@
 	follower.Server.promote = func() error { return follower.promote(historyName) }
 	if store.isWriter && store.fence == nil {
 		close(follower.promoted) // by an earlier process
+		if !slices.Contains(store.replacedWriters, writer) {
+			// Earlier builds did not record the writer that the process had replaced.
+			store.replacedWriters = append(store.replacedWriters, writer)
+		}
 		return follower
 	}
 	follower.writer.Store(&writer)
 	if store.isWriter {
 		// A fenced writer becomes a follower.
-		store.isWriter, store.fence = false, nil
+		store.isWriter, store.fence, store.replacedWriters = false, nil, nil
 	}
 	return follower
 }
@@ -88,29 +110,44 @@
 // SetSource makes the follower replicate another writer. The current list stays until the
 // first update from that writer. It does nothing after a promotion.
 func (f *Follower) SetSource(ctx context.Context, writer string) {
-	if f.writer.Load() == nil {
-		return // promoted
+	if !f.setWriter(writer) {
+		return
 	}
-	f.writer.Store(&writer)
 	select {
 	case f.sources <- []string{writer}:
+	case <-f.promoted: // nothing is replicated any more
 	case <-ctx.Done():
 	}
 }
 
+// setWriter sets the address of the writer. It returns false after a promotion.
+func (f *Follower) setWriter(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.writer.Load() == nil {
+		return false
+	}
+	f.writer.Store(&address)
+	f.addFormerWriter(address)
+	return true
+}
+
 // Serve is Server.Serve for a follower: it also replicates the writer and, after a promotion,
-// notifies the old writer.
+// notifies the writers that it has replaced.
 func (f *Follower) Serve(ctx context.Context, listener, controlListener net.Listener) error {
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	copyContext, stopCopying := context.WithCancel(background)
+	promotedBefore := f.writer.Load() == nil // Server.Serve notifies the replaced writers then
 	wg.Go(func() {
 		select {
 		case <-f.promoted:
 			stopCopying()
-			f.notifyOldWriter(background, f.source)
+			if !promotedBefore {
+				f.notifyReplacedWriters(background)
+			}
 		case <-background.Done():
 			stopCopying()
 		}
--- a/internal/registry/keeper_test.go
+++ b/internal/registry/keeper_test.go
@@ -306,7 +306,7 @@
 		store := newTestStore(testLimits, 0)
 		store.Register(0, testInstance("a", 1), nil)
 		before := store.version
-		if err := store.Restore(0, store.PromotionRecord(0, "h2", clock)); err != nil {
+		if err := store.Restore(0, store.PromotionRecord(0, "h2", clock, nil)); err != nil {
 			t.Fatal(err)
 		}
 		if store.version <= before || store.version < clock || store.epoch != 2 || store.entries["a"] == nil {
--- a/internal/registry/promote.go
+++ b/internal/registry/promote.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -160,6 +161,24 @@
 	return reply, json.Unmarshal(data, &reply)
 }
 
+// notifyReplacedWriters notifies the writers that this server has replaced, each until it
+// succeeds or ctx ends. It does nothing unless this server is the writer.
+func (s *Server) notifyReplacedWriters(ctx context.Context) {
+	s.mu.Lock()
+	var addresses []string
+	if s.store.isWriter && s.store.fence == nil {
+		addresses = slices.Clone(s.store.replacedWriters)
+	}
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		if address != s.selfAddress {
+			wg.Go(func() { s.notifyOldWriter(ctx, address) })
+		}
+	}
+	wg.Wait()
+}
+
 // notifyOldWriter notifies the old writer that this server has replaced it. It retries until
 // it succeeds or ctx ends.
 func (s *Server) notifyOldWriter(ctx context.Context, address string) {
@@ -194,7 +213,7 @@
 		return refuse(http.StatusConflict, "this follower has no list yet")
 	}
 	now := f.now()
-	record := f.store.PromotionRecord(now, historyName, time.Now().UnixMilli())
+	record := f.store.PromotionRecord(now, historyName, time.Now().UnixMilli(), f.formerWriters)
 	if err := f.persister.persist(record); err != nil {
 		return fmt.Errorf("the promotion could not be persisted: %w", err)
 	}
--- a/internal/registry/saved.go
+++ b/internal/registry/saved.go
@@ -26,6 +26,8 @@
 	BaseVersion int64  `json:"from"` // version before the first change
 	Epoch       int64  `json:"epoch"`
 	Writer      bool   `json:"writer"` // this process writes the history
+	// Replaced holds the addresses of the writers that this process has replaced by a promotion.
+	Replaced []string `json:"replaced,omitempty"`
 }
 
 // InstanceRecord is an instance at a version.
@@ -103,7 +105,7 @@
 		}
 		s.clearHistory()
 		s.history, s.version, s.baseVersion, s.epoch, s.isWriter = begin.History, begin.Version, begin.BaseVersion, begin.Epoch, begin.Writer
-		s.fence = nil
+		s.fence, s.replacedWriters = nil, begin.Replaced
 	case record.Entry != nil:
 		instance, err := record.Entry.instance()
 		if err != nil {
@@ -130,7 +132,7 @@
 		s.applyEncoded(instance, record.Change.Instance, record.Change.Version, now, record.Change.Previous)
 		s.trimServices()
 	case record.Copy != nil:
-		s.epoch, s.isWriter = max(s.epoch, record.Copy.Epoch), false
+		s.epoch, s.isWriter, s.replacedWriters = max(s.epoch, record.Copy.Epoch), false, nil
 		return s.ApplyListing(now, record.Copy.Listing, record.Copy.History)
 	case record.Fence != nil:
 		s.fence = record.Fence
@@ -146,7 +148,7 @@
 // SnapshotRecords returns the records of a snapshot of the store. They stay valid when the
 // store changes.
 func (s *Store) SnapshotRecords() []Record {
-	records := []Record{{Begin: &Begin{History: s.history, Version: s.version, BaseVersion: s.baseVersion, Epoch: s.epoch, Writer: s.isWriter}}}
+	records := []Record{{Begin: &Begin{History: s.history, Version: s.version, BaseVersion: s.baseVersion, Epoch: s.epoch, Writer: s.isWriter, Replaced: s.replacedWriters}}}
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		e := s.entries[id]
 		records = append(records, Record{Entry: &InstanceRecord{Version: e.version, Instance: e.encoded}})
@@ -200,9 +202,10 @@
 
 // PromotionRecord returns the record that makes a follower's copy a list written by this
 // process, under a new history whose version is above all earlier ones. unixMs is the
-// current time. The caller persists the record and then passes it to Restore.
-func (s *Store) PromotionRecord(now time.Duration, historyName string, unixMs int64) Record {
-	begin := &Begin{History: historyName, Version: max(unixMs, s.version+1), Epoch: s.epoch + 1, Writer: true}
+// current time, and replaced holds the addresses of the writers that this process replaces. The
+// caller persists the record and then passes it to Restore.
+func (s *Store) PromotionRecord(now time.Duration, historyName string, unixMs int64, replaced []string) Record {
+	begin := &Begin{History: historyName, Version: max(unixMs, s.version+1), Epoch: s.epoch + 1, Writer: true, Replaced: replaced}
 	begin.BaseVersion = begin.Version
 	return Record{Begin: begin}
 }
--- a/internal/registry/scope_model_test.go
+++ b/internal/registry/scope_model_test.go
@@ -494,7 +494,7 @@
 		}
 		w.services = w.listsByVersion[versionKey(store.history, store.version)].services
 		w.histories++
-		if err := store.Restore(w.now, store.PromotionRecord(w.now, fmt.Sprint("h", w.histories), int64(w.histories)*100_000)); err != nil {
+		if err := store.Restore(w.now, store.PromotionRecord(w.now, fmt.Sprint("h", w.histories), int64(w.histories)*100_000, nil)); err != nil {
 			w.t.Fatal(err)
 		}
 		store.gatheringUntil, store.lastTick = 0, w.now
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -209,6 +209,7 @@
 	defer wg.Wait()
 	defer stopTicks()
 	wg.Go(func() { s.tick(tickContext) })
+	wg.Go(func() { s.notifyReplacedWriters(tickContext) }) // an earlier process may not have reached them
 	persisterResult := make(chan error, 1)
 	if s.persister != nil {
 		persisterContext, stopPersister := context.WithCancel(context.Background())
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -33,8 +33,11 @@
 	epoch    int64  // of the writer; each promotion increments it
 	isWriter bool   // this process writes the history
 	fence    *Fence // set when another writer has replaced this one
-	entries  map[string]*entry
-	gone     map[string]change // last change of each Gone instance that the history still holds
+
+	replacedWriters []string // addresses of the writers that this process has replaced
+
+	entries map[string]*entry
+	gone    map[string]change // last change of each Gone instance that the history still holds
 
 	services *serviceIndex
 
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -198,7 +198,7 @@
 					follower.baseVersion = 0
 					store = follower
 				case "after promotion":
-					step(WriteResult{}, follower.Restore(0, follower.PromotionRecord(0, "h2", 1)))
+					step(WriteResult{}, follower.Restore(0, follower.PromotionRecord(0, "h2", 1, nil)))
 					store = follower
 					// A promoted follower has no history, so that a Gone instance counts as absent.
 					if from == drained {
