--- a/internal/registry/promote_test.go
+++ b/internal/registry/promote_test.go
@@ -73,7 +73,7 @@
 		follower, _ = startPersistent(t, dir, follower.address, "")
 		follower.stopAndWait(t)
 	}
-	follower, _ = startPersistent(t, dir, follower.address, "")
+	startPersistent(t, dir, follower.address, "")
 	old, _ = startPersistent(t, oldDir, old.address, "")
 	awaitFenced(t, old)
 }
