gateway: backendOf gives a backend the number of its zone itself

Need: applyList replaced the index that backendOf had computed, so one value was worked out twice and the first was dead. Change: backendOf takes the zone numbers. The test passes the numbers of its zones and keeps its assertions. Tests of internal/gateway pass with the race detector.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -63,19 +63,18 @@
 // backendOf converts an instance to the module's form. Both clocks are Unix time (see clock), the
 // module's in seconds. It returns an error for a lifecycle or zone that the deployment does not
 // have.
-func backendOf(instance Instance, deployment *wire.Deployment) (rules.Backend, error) {
+func backendOf(instance Instance, deployment *wire.Deployment, zones zoneNumbers) (rules.Backend, error) {
 	state, known := backendStates[instance.Lifecycle]
-	zone := slices.Index(deployment.Zones, instance.Zone)
 	switch {
 	case instance.ID == "" || !known:
 		return rules.Backend{}, fmt.Errorf("instance %q: lifecycle %q is not known", instance.ID, instance.Lifecycle)
-	case zone < 0 && state != rules.Gone:
+	case !slices.Contains(deployment.Zones, instance.Zone) && state != rules.Gone:
 		// Danger: two unknown zones must not count as one zone that drops duplicates.
 		return rules.Backend{}, fmt.Errorf("instance %q: zone %q is not known", instance.ID, instance.Zone)
 	case math.IsNaN(instance.Weight) || instance.StartedAtMs < 0:
 		return rules.Backend{}, fmt.Errorf("instance %q: weight %g or start %d ms is not valid", instance.ID, instance.Weight, instance.StartedAtMs)
 	}
-	return rules.Backend{ID: backendID(instance.ID), Zone: zone, Kind: slices.Index(deployment.Kinds, instance.MachineType), Cell: instance.Cell,
+	return rules.Backend{ID: backendID(instance.ID), Zone: zones.number(instance.Zone), Kind: slices.Index(deployment.Kinds, instance.MachineType), Cell: instance.Cell,
 		State: state, Weight: instance.Weight, StartedAt: float64(instance.StartedAtMs) / 1000}, nil
 }
 
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -232,8 +232,10 @@
 // of a name must never change.
 func TestInstanceConversion(t *testing.T) {
 	deployment := &wire.Deployment{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
+	zones := zoneNumbers{}
+	zones.assign(deployment.Zones)
 	backend, err := backendOf(Instance{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
-		StartedAtMs: 1500}, deployment)
+		StartedAtMs: 1500}, deployment, zones)
 	want := rules.Backend{ID: backendID("s-1"), Zone: 1, Kind: 1, Cell: 3, State: rules.Draining, Weight: 1.5, StartedAt: 1.5}
 	if err != nil || backend != want {
 		t.Errorf("%+v, %v; want %+v", backend, err, want)
@@ -247,7 +249,7 @@
 		{ID: "s-1", Zone: "c", Lifecycle: "Ready"},
 		{ID: "s-1", Zone: "a", Lifecycle: "Ready", StartedAtMs: -1},
 	} {
-		if _, err := backendOf(invalid, deployment); err == nil {
+		if _, err := backendOf(invalid, deployment, zones); err == nil {
 			t.Errorf("%+v was accepted", invalid)
 		}
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -396,7 +396,7 @@
 	event := rules.Backends{Kind: kind}
 	listed := map[rules.BackendID]bool{}
 	for _, instance := range listing.Instances {
-		backend, err := backendOf(instance, &l.service.Deployment)
+		backend, err := backendOf(instance, &l.service.Deployment, l.zones)
 		if err != nil {
 			log.Printf("discovery: %v", err)
 			continue
@@ -405,7 +405,6 @@
 			log.Printf("discovery: instances %q and %q have one id; the second is left out", existing.ID, instance.ID)
 			continue
 		}
-		backend.Zone = l.zones.number(instance.Zone)
 		listed[backend.ID] = true
 		event.Entries = append(event.Entries, backend)
 		if l.instances[backend.ID] = instance; backend.State == rules.Gone {
