Tests: one listener of benchmark backends, one check for an instance on a list

Need: the two backends of the gateway's benchmarks, and the checks of two promotion tests, stood twice. Change: serveConnections and hasInstance serve both; assertions as before.

--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -10,9 +10,9 @@
 	"testing"
 )
 
-// pipelineBackend starts a backend that answers every request with the same bytes, without
-// allocating.
-func pipelineBackend(b *testing.B, bodyLength int, response []byte) *testServer {
+// serveConnections listens until the benchmark ends, and serves each connection in a goroutine that
+// then closes it.
+func serveConnections(b *testing.B, serve func(net.Conn)) net.Listener {
 	b.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,23 +27,32 @@
 			}
 			go func() {
 				defer conn.Close()
-				buffer := make([]byte, 64<<10)
-				for filled := 0; ; {
-					read, err := conn.Read(buffer[filled:])
-					if filled += read; err != nil {
-						return
-					}
-					if head := bytes.Index(buffer[:filled], []byte("\r\n\r\n")); head >= 0 && filled >= head+4+bodyLength {
-						filled = 0
-						if _, err := conn.Write(response); err != nil {
-							return
-						}
-					}
-				}
+				serve(conn)
 			}()
 		}
 	}()
-	return &testServer{listener: listener}
+	return listener
+}
+
+// pipelineBackend starts a backend that answers every request with the same bytes, without
+// allocating.
+func pipelineBackend(b *testing.B, bodyLength int, response []byte) *testServer {
+	b.Helper()
+	return &testServer{listener: serveConnections(b, func(conn net.Conn) {
+		buffer := make([]byte, 64<<10)
+		for filled := 0; ; {
+			read, err := conn.Read(buffer[filled:])
+			if filled += read; err != nil {
+				return
+			}
+			if head := bytes.Index(buffer[:filled], []byte("\r\n\r\n")); head >= 0 && filled >= head+4+bodyLength {
+				filled = 0
+				if _, err := conn.Write(response); err != nil {
+					return
+				}
+			}
+		}
+	})}
 }
 
 // BenchmarkShort measures the allocations of the gateway for one request with short bodies.
--- a/internal/gateway/pool_limit_test.go
+++ b/internal/gateway/pool_limit_test.go
@@ -159,32 +159,18 @@
 
 // slowBackend starts a backend that answers each request after 170 to 300 ms, and returns its address.
 func slowBackend(b *testing.B) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	b.Helper()
+	return serveConnections(b, func(conn net.Conn) {
+		for reader := bufio.NewReader(conn); ; {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				for reader := bufio.NewReader(conn); ; {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, request.Body)
-					time.Sleep(170*time.Millisecond + rand.N(130*time.Millisecond))
-					if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
-						return
-					}
-				}
-			}()
+			io.Copy(io.Discard, request.Body)
+			time.Sleep(170*time.Millisecond + rand.N(130*time.Millisecond))
+			if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+				return
+			}
 		}
-	}()
-	return listener.Addr().String()
+	}).Addr().String()
 }
--- a/internal/registry/keeper_test.go
+++ b/internal/registry/keeper_test.go
@@ -220,15 +220,9 @@
 	writer, _ := startPersistent(t, oldDir, "127.0.0.1:0", "")
 	writer.register(t, "s-1", 5)
 	follower, _ := startPersistent(t, followerDir, "127.0.0.1:0", writer.address)
-	hasInstance := func(s *testServer, id string) func() bool {
-		return func() bool {
-			code, text, _ := call(t, "GET", s.url(""), "")
-			return code == 200 && strings.Contains(text, id)
-		}
-	}
-	waitUntil(t, "the follower has the list", hasInstance(follower, "s-1"))
+	waitUntil(t, "the follower has the list", hasInstance(t, follower, "s-1"))
 	writer.register(t, "s-2", 5)
-	waitUntil(t, "the follower has the update", hasInstance(follower, "s-2"))
+	waitUntil(t, "the follower has the update", hasInstance(t, follower, "s-2"))
 	if code, _, _ := call(t, "POST", "http://"+writer.control+"/control/promote", ""); code != 409 {
 		t.Errorf("promotion of a writer: status %d", code)
 	}
@@ -282,7 +276,7 @@
 		t.Errorf("fence from the peers: %+v", fence)
 	}
 	writer, _ = startPersistent(t, oldDir, "127.0.0.1:0", follower.address)
-	waitUntil(t, "the old writer replicates the new one", hasInstance(writer, "s-5"))
+	waitUntil(t, "the old writer replicates the new one", hasInstance(t, writer, "s-5"))
 
 	// A repeated promotion succeeds, unless another writer has replaced the promoted one.
 	promote := func() int {
