--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -84,22 +84,23 @@
 // without one, nobody listens for a while during a restart.
 func newPlatform(t *testing.T, inherited bool, settings platformSettings, backends int, checker *requestChecker) *platform {
 	t.Helper()
-	platform := &platform{t: t, address: testnet.TCP(t), dir: t.TempDir(), settings: settings}
+	platform := &platform{t: t, dir: t.TempDir(), settings: settings}
 	for index := range backends {
 		backend := newServer(fmt.Sprintf("s-%d", index), checker)
 		t.Cleanup(backend.http.Close)
 		platform.backends = append(platform.backends, backend)
 	}
 	if inherited {
-		listener, err := net.Listen("tcp", platform.address)
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := testnet.Listener(t)
 		defer listener.Close() // the file keeps the socket open
-		if platform.listener, err = listener.(*net.TCPListener).File(); err != nil {
+		platform.address = listener.Addr().String()
+		var err error
+		if platform.listener, err = listener.File(); err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { platform.listener.Close() })
+	} else {
+		platform.address = testnet.TCP(t)
 	}
 	platform.discovery = httptest.NewServer(http.HandlerFunc(platform.serveList))
 	t.Cleanup(platform.discovery.Close)
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -9,18 +9,27 @@
 	"testing"
 )
 
-// TCP returns an address at which nothing listens. It fails the test if there is none.
+// Listener returns a listener on a free port. It fails the test if there is none. A test that
+// listens itself must use it in place of TCP, whose port may be taken before the test listens.
 //
 // The host is a random one of 127.0.0.0/8. A free port of 127.0.0.1 may soon be used by another
 // test, or as the local port of any connection on the machine, which starts from 127.0.0.1.
-func TCP(t testing.TB) string {
+func Listener(t testing.TB) *net.TCPListener {
 	t.Helper()
-	l, err := net.Listen("tcp4", host()+":0")
+	listener, err := net.Listen("tcp4", host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return listener.(*net.TCPListener)
+}
+
+// TCP returns an address at which nothing listens, on a host like that of Listener. It fails the
+// test if there is none.
+func TCP(t testing.TB) string {
+	t.Helper()
+	listener := Listener(t)
+	defer listener.Close()
+	return listener.Addr().String()
 }
 
 // UDP returns an address at which no socket receives datagrams. It fails the test if there is none.
