--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -34,6 +35,7 @@
 	t         *testing.T
 	address   string
 	listener  *os.File // inherited by each process; nil: each process listens by itself
+	program   string   // of the processes; empty: the test binary
 	dir       string
 	config    string // path
 	discovery *httptest.Server
@@ -47,6 +49,7 @@
 type platformSettings struct {
 	Deadline time.Duration // the longest of all classes
 	Sockets  int
+	MemoryMB int  // 0: 64
 	Extra    bool // with one more class
 }
 
@@ -66,7 +69,7 @@
 		classes = append(classes, class("extra", "repeatable", s.Deadline))
 	}
 	document := map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "1",
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": s.Sockets},
+		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(s.MemoryMB, 64), "sockets": s.Sockets},
 		"settings": map[string]any{"fleetSize": 1, "localities": []string{"a"}, "kinds": []string{"m"}, "tickS": 0.002,
 			"allowed": map[string]any{"cancel": true, "mostTries": 3, "connectTimeoutS": 0.25, "keepaliveS": 15, "maxRetryAfterS": 0.5,
 				"retryAfter": true, "maxOpen": 20000},
@@ -166,7 +169,7 @@
 func (p *platform) launch() *gatewayProcess {
 	p.t.Helper()
 	process := &gatewayProcess{t: p.t, control: testnet.TCP(p.t), ended: make(chan struct{})}
-	process.cmd = exec.Command(os.Args[0])
+	process.cmd = exec.Command(cmp.Or(p.program, os.Args[0]))
 	process.cmd.Env = append(os.Environ(), "GATEWAY_AS_COMMAND=1", "EDGE_CONFIG="+p.config, "EDGE_CONTROL="+process.control,
 		"GORACE=atexit_sleep_ms=0") // otherwise the race detector delays the end of a process by a second
 	if p.listener != nil {
