gateway: headers and trailers have at most 100 fields, found before they are parsed

Cause: net/http bounds the bytes of a header, and each field takes about 25 times its least size of 4 bytes once it is parsed; 16 KiB of them take 400 KB a client. Change: the scan that reads all bytes before net/http does counts the fields and rejects the 101st with 431; a response of a backend like that is a broken one. This works as no byte reaches a parser once the limit is passed.

--- a/internal/gateway/chunked.go
+++ b/internal/gateway/chunked.go
@@ -113,19 +113,24 @@
 // readTrailer reads the trailers after the last chunk.
 func (c *chunkedReader) readTrailer() error {
 	var lines []byte
-	for {
+	for range maxHeaderFields + 1 {
 		line, err := c.readLine()
 		if err != nil {
 			return err
 		}
 		lines = append(append(lines, line...), "\r\n"...)
 		if len(line) == 0 {
-			break
+			return c.parseTrailer(lines)
 		}
 		if len(lines) > maxTrailerBytes {
 			return errInvalidChunks
 		}
 	}
+	return errInvalidChunks // too many fields
+}
+
+// parseTrailer parses the lines of a trailer, with the empty line at the end.
+func (c *chunkedReader) parseTrailer(lines []byte) error {
 	if len(lines) == len("\r\n") {
 		return nil
 	}
--- a/internal/gateway/chunked_test.go
+++ b/internal/gateway/chunked_test.go
@@ -34,6 +34,7 @@
 		{"1;" + strings.Repeat("x", 5000) + "\r\na\r\n0\r\n\r\n", "", "", errInvalidChunks},
 		{strings.Repeat("1;"+strings.Repeat("x", 2000)+"\r\na\r\n", 50) + "0\r\n\r\n", "aaaaaaaa", "", errInvalidChunks},
 		{"0\r\n" + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 9) + "\r\n", "", "", errInvalidChunks},
+		{"0\r\n" + strings.Repeat("X:\r\n", maxHeaderFields+1) + "\r\n", "", "", errInvalidChunks},
 	} {
 		for _, input := range []io.Reader{strings.NewReader(test.text), iotest.OneByteReader(strings.NewReader(test.text))} {
 			reader := &chunkedReader{reader: bufio.NewReader(input)}
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -53,10 +53,27 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.skipLinger.Store(true)
 	}
+	if !c.scan(p[:n]) {
+		c.rejectHeader()
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// scan scans bytes that were read. It returns false if a header has too many fields.
+func (c *clientConn) scan(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framing.scan(p[:n])
-	return n, err
+	c.framing.scan(data)
+	return !c.framing.tooManyFields
+}
+
+// rejectHeader rejects a request whose header or trailer has too many fields.
+func (c *clientConn) rejectHeader() {
+	c.listener.mu.Lock()
+	c.closeCause = closedHeaderFields
+	c.listener.mu.Unlock()
+	c.rejectRequest(headerFieldsResponse)
 }
 
 // Write implements net.Conn. It fails once the connection has been rejected.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -48,17 +48,21 @@
 // badGatewayResponse ends a request that may have reached a backend.
 const badGatewayResponse = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// headerFieldsResponse rejects a request whose header has too many fields.
+const headerFieldsResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Causes of the end of a client connection.
 const (
-	closedByPeer   = iota // also after a response or a timeout of the server
-	closedIdle            // evicted between requests to make room
-	closedNew             // evicted before its first byte to make room
-	closedShutdown        // closed by the shutdown
-	closedRejected        // not admitted
+	closedByPeer       = iota // also after a response or a timeout of the server
+	closedIdle                // evicted between requests to make room
+	closedNew                 // evicted before its first byte to make room
+	closedShutdown            // closed by the shutdown
+	closedRejected            // not admitted
+	closedHeaderFields        // a header has too many fields
 	closeCauseCount
 )
 
-var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away"}
+var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away", "header_fields"}
 
 // clientListener accepts client connections and owns them until they are closed. Its table
 // decides which connection is evicted to make room for another.
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -51,11 +51,16 @@
 	return raw
 }
 
-// Read implements io.Reader. It also passes what it reads to the check for ambiguous
-// framing.
+// errTooManyFields reports a response whose header has more than maxHeaderFields.
+var errTooManyFields = errors.New("too many header fields in a response")
+
+// Read implements io.Reader. It also checks the header of the response.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.framing.scan(p[:n])
+	if c.framing.tooManyFields {
+		return 0, errTooManyFields
+	}
 	return n, err
 }
 
--- a/internal/gateway/download_test.go
+++ b/internal/gateway/download_test.go
@@ -229,8 +229,8 @@
 	}
 }
 
-// A request with an ambiguous or invalid length is rejected and its connection closed. A
-// response with an ambiguous length fails and is not retried, since the request may have run.
+// A request with an ambiguous or invalid length is rejected and its connection closed. A response
+// with an ambiguous length or too many fields fails and is not retried, since the request may have run.
 func TestAmbiguousLengthIsRejected(t *testing.T) {
 	t.Parallel()
 	backend := newTestServer(t)
@@ -252,7 +252,7 @@
 		t.Error("a rejected request reached the backend")
 	}
 	for _, response := range []string{"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"} {
+		"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok", "Content-Length: 2\r\n" + strings.Repeat("X:\r\n", maxHeaderFields) + "\r\nok"} {
 		_, responses := gateway.request(t, requestText("POST", "payment", "x"))
 		upstream, reader := backend.accept(t)
 		readRequest(t, reader)
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -5,13 +5,19 @@
 	"strconv"
 )
 
+// maxHeaderFields is the number of fields that a header or a trailer may have. A field takes
+// memory beyond its bytes, so a limit of the bytes alone does not bound the memory.
+const maxHeaderFields = 100
+
 // framingScanner scans the bytes of an HTTP/1 connection for messages whose header gives the
 // length of the body in more than one way. net/http applies one of them silently; another
 // proxy may apply the other and take part of a body for a message (request smuggling).
-// Messages that net/http rejects itself are not checked.
+// It also finds headers and trailers with more than maxHeaderFields, before net/http has parsed
+// them. Messages that net/http rejects itself are not checked.
 type framingScanner struct {
-	responses bool // scans the responses of a backend; otherwise requests
-	ambiguous bool // such a header was found
+	responses     bool // scans the responses of a backend; otherwise requests
+	ambiguous     bool // a header with two lengths was found
+	tooManyFields bool // a header or trailer with more than maxHeaderFields was found
 
 	bodyBytes        uint64 // body bytes so far, without their framing
 	earlierBodyBytes uint64 // body bytes before the last header
@@ -21,6 +27,7 @@
 	line              [40]byte // start of the current line
 	lineBytes         int      // length of the current line so far
 	lastTwo           [2]byte  // last two bytes scanned
+	fields            int      // lines of the current header or trailer, folded ones included
 	contentLengths    int      // Content-Length lines in the current header
 	transferEncodings int      // Transfer-Encoding lines in the current header
 	remaining         uint64   // bytes to come of the body, or of the chunk and its line end
@@ -102,7 +109,7 @@
 		if empty {
 			break // empty lines may precede a request
 		}
-		f.contentLengths, f.transferEncodings, f.remaining = 0, 0, 0
+		f.fields, f.contentLengths, f.transferEncodings, f.remaining = 0, 0, 0, 0
 		if f.responses {
 			f.interim = len(line) > 9 && line[9] == '1'
 			f.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
@@ -112,6 +119,7 @@
 		f.state = frameHeaders
 	case frameHeaders:
 		if !empty {
+			f.countField()
 			f.scanHeader(line)
 			break
 		}
@@ -137,18 +145,26 @@
 		case err != nil:
 			f.state = frameIgnored // net/http closes the connection
 		case n == 0:
-			f.state = frameTrailers
+			f.state, f.fields = frameTrailers, 0
 		default:
 			f.state, f.remaining = frameChunkData, n+2
 		}
 	case frameTrailers:
 		if empty {
 			f.state = frameStartLine
+		} else {
+			f.countField()
 		}
 	}
 	f.lineBytes = 0
 }
 
+// countField counts a line of a header or a trailer.
+func (f *framingScanner) countField() {
+	f.fields++
+	f.tooManyFields = f.tooManyFields || f.fields > maxHeaderFields
+}
+
 // scanHeader parses a header line that gives the length of the body.
 func (f *framingScanner) scanHeader(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// Guards against headers and trailers whose fields take memory out of proportion to their bytes.
+func TestHeadersWithTooManyFieldsAreFound(t *testing.T) {
+	fields := func(count int) string { return strings.Repeat("a:\r\n", count) }
+	for name, test := range map[string]struct {
+		text  string
+		found bool
+	}{
+		"as many as allowed":       {"GET / HTTP/1.1\r\n" + fields(maxHeaderFields) + "\r\n", false},
+		"one too many":             {"GET / HTTP/1.1\r\n" + fields(maxHeaderFields+1), true},
+		"in two headers":           {strings.Repeat("GET / HTTP/1.1\r\n"+fields(maxHeaderFields)+"\r\n", 2), false},
+		"folded":                   {"GET / HTTP/1.1\r\na:\r\n" + strings.Repeat(" b\r\n", maxHeaderFields), true},
+		"a trailer with too many":  {framingCases[2].text[:strings.Index(framingCases[2].text, "X: 1")] + fields(maxHeaderFields+1), true},
+		"a trailer after a header": {"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + fields(maxHeaderFields-1) + "\r\n0\r\n" + fields(maxHeaderFields) + "\r\n", false},
+	} {
+		var scanner framingScanner
+		if scanner.scan([]byte(test.text)); scanner.tooManyFields != test.found {
+			t.Errorf("%s: found %t, want %t", name, scanner.tooManyFields, test.found)
+		}
+	}
+}
+
 // The scan of a response skips 1xx responses and ends after the header of the final one.
 func TestAmbiguousFramingOfResponses(t *testing.T) {
 	for text, want := range map[string]bool{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -223,6 +223,7 @@
 		{"a body too long", requestText("POST", "booking", "", "Content-Length", strconv.Itoa(5<<20+1)), 413},
 		{"a body in bad chunks", requestText("POST", "booking", "", "Transfer-Encoding", "chunked") + "x\r\n", 400},
 		{"endless headers", requestText("GET", "lookup", "", "X", strings.Repeat("x", 4*maxHeaderBytes)), 431},
+		{"too many fields", strings.TrimSuffix(requestText("GET", "lookup", ""), "\r\n") + strings.Repeat("a:\r\n", maxHeaderFields) + "\r\n", 431},
 	} {
 		_, responses := gateway.request(t, test.text)
 		if resp := wait(t, responses, "response to "+test.name); resp.StatusCode != test.status {
