gateway: timers end with their request, attempt or counter call

Cause: the heap kept a timer until its time, and dropped obsolete ones only at its top; a timer of an attempt holds the request with its header and its body of up to 64 KiB, which the body budget no longer counts. The client chooses the time: up to an hour for a class whose late answers are worth something.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,6 +39,7 @@
 	deadline     float64   // seconds on the loop's clock
 	wallDeadline time.Time // deadline as a wall-clock time; zero: no deadline yet
 	writeBefore  time.Time // limit for writing the request's last byte; zero: no limit
+	timer        *timer    // for deadline; nil if there is none
 	ended        bool
 	outcome      rules.Outcome // valid once ended
 	took         float64       // seconds
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -39,6 +39,7 @@
 	amount float64
 	ttl    time.Duration // of the total
 	sent   float64       // seconds on the loop's clock
+	timer  *timer        // of its timeout
 	ended  bool
 
 	abandoned atomic.Bool // set by the loop: the call must not be written any more
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -68,7 +68,8 @@
 	responseStarted bool    // a response is being streamed to the client
 	inFlight        int     // attempts in flight
 	attempts        []*attempt
-	rejectReason    string // empty if the request was not rejected
+	timers          []*timer // of the decision module
+	rejectReason    string   // empty if the request was not rejected
 }
 
 // discardResponses discards responses whose handler has returned.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"context"
 	"log"
 	"log/slog"
@@ -102,7 +101,7 @@
 	offline        map[rules.BackendID]bool // operator overrides that this process knows
 	offlineOutside map[string]bool          // backends outside the subset that an operator has taken offline
 	exportedState  rules.Snapshot
-	timers         timerHeap
+	timers         timerQueue
 	actions        []rules.Action
 	pendingEvents  []rules.Event // events that actions caused
 
@@ -183,14 +182,12 @@
 		case <-wakeup.C:
 		}
 		now := l.clock.now()
-		for len(l.timers) > 0 && (l.timers[0].at <= now || l.obsolete(l.timers[0])) {
-			if timer := heap.Pop(&l.timers).(timerEntry); !l.obsolete(timer) {
-				l.recordLag(now - timer.at)
-				l.fire(timer)
-			}
+		for timer := l.timers.popDue(now); timer != nil; timer = l.timers.popDue(now) {
+			l.recordLag(now - timer.at)
+			l.fire(timer)
 		}
-		if len(l.timers) > 0 {
-			wakeup.Reset(time.Until(l.clock.at(l.timers[0].at)))
+		if at, ok := l.timers.next(); ok {
+			wakeup.Reset(time.Until(l.clock.at(at)))
 		}
 	}
 }
@@ -327,7 +324,7 @@
 	}
 	if attempt := exchange.attempts[len(exchange.attempts)-1]; !attempt.ended {
 		attempt.deadline = exchange.request.Deadline
-		l.timers.add(timerEntry{at: attempt.deadline, attempt: attempt})
+		l.setAttemptTimer(attempt)
 	}
 	l.handle(rules.BodyComplete{Request: exchange.request.ID, Deadline: exchange.request.Deadline})
 }
@@ -340,6 +337,7 @@
 		return false
 	}
 	exchange.responseStarted, attempt.download = true, response.download
+	l.timers.remove(attempt.timer) // a response that has started has no deadline
 	units := reportedUnits(response.header)
 	response.prepareForClient()
 	l.handle(rules.Established{Request: exchange.request.ID, Attempt: attempt.number, Backend: attempt.backend, Took: l.clock.now() - attempt.sent,
@@ -443,7 +441,7 @@
 		case rules.Fail:
 			l.reject(action.Request, action.Reason, response{status: http.StatusBadGateway})
 		case rules.SetTimer:
-			l.timers.add(timerEntry{at: l.clock.now() + max(action.Delay, 0), token: action.Token, request: action.Request})
+			l.setModuleTimer(action)
 		case rules.Count:
 			l.callCounter(action)
 		case rules.Exported:
@@ -503,7 +501,7 @@
 	}
 	attempt.ctx, attempt.cancel = context.WithCancel(context.Background())
 	if !exchange.request.BodyPending {
-		l.timers.add(timerEntry{at: attempt.deadline, attempt: attempt})
+		l.setAttemptTimer(attempt)
 	}
 	l.attempts.Go(func() { // ends by attempt.wallDeadline, or when the attempt is aborted
 		res := l.pools.runAttempt(attempt)
@@ -521,6 +519,7 @@
 		return
 	}
 	attempt.ended, attempt.outcome, attempt.err, attempt.took = true, res.outcome, res.err, l.clock.now()-attempt.sent
+	l.timers.remove(attempt.timer)
 	exchange := attempt.exchange
 	exchange.inFlight--
 	switch {
@@ -596,6 +595,8 @@
 func (l *Loop) forget(exchange *exchange) {
 	if !exchange.inProgress && exchange.inFlight == 0 {
 		delete(l.live, exchange.request.ID)
+		l.timers.remove(exchange.timers...)
+		exchange.timers = nil
 	}
 }
 
@@ -617,7 +618,8 @@
 		l.endCounterCall(call, rules.Full, 0)
 		return
 	}
-	l.timers.add(timerEntry{at: call.sent + counterTimeoutFactor*l.service.CounterTimeout, call: call})
+	call.timer = &timer{at: call.sent + counterTimeoutFactor*l.service.CounterTimeout, call: call}
+	l.timers.add(call.timer)
 }
 
 // endCounterCall passes the result of a counter call to the decision module, once.
@@ -626,26 +628,32 @@
 		return
 	}
 	call.ended = true
+	l.timers.remove(call.timer)
 	l.contact.recordCall(outcome)
 	l.handle(rules.CounterReply{Name: call.name, Outcome: outcome, Total: total, Took: l.clock.now() - call.sent})
 }
 
-// obsolete reports whether nothing waits for a timer any more. Most timers become obsolete,
-// so the process does not wake up for them.
-func (l *Loop) obsolete(timer timerEntry) bool {
-	switch {
-	case timer.attempt != nil:
-		return timer.attempt.ended || timer.attempt.download != nil // a response that has started has no deadline
-	case timer.call != nil:
-		return timer.call.ended
-	case timer.request != 0:
-		return l.live[timer.request] == nil
+// setModuleTimer sets a timer of the decision module, unless its request has ended.
+func (l *Loop) setModuleTimer(action rules.SetTimer) {
+	timer := &timer{at: l.clock.now() + max(action.Delay, 0), token: action.Token, request: action.Request}
+	if action.Request != 0 {
+		exchange := l.live[action.Request]
+		if exchange == nil {
+			return
+		}
+		exchange.timers = append(exchange.timers, timer)
 	}
-	return false
+	l.timers.add(timer)
+}
+
+// setAttemptTimer sets the timer for the deadline of an attempt.
+func (l *Loop) setAttemptTimer(attempt *attempt) {
+	attempt.timer = &timer{at: attempt.deadline, attempt: attempt}
+	l.timers.add(attempt.timer)
 }
 
 // fire handles a timer that has expired.
-func (l *Loop) fire(timer timerEntry) {
+func (l *Loop) fire(timer *timer) {
 	switch {
 	case timer.attempt != nil:
 		timer.attempt.abort()
@@ -663,29 +671,3 @@
 		}
 	}
 }
-
-// timerEntry is a timer of the decision module, or the timeout of an attempt or a counter
-// call.
-type timerEntry struct {
-	at      float64         // seconds on the loop's clock
-	token   uint64          // of the decision module
-	request rules.RequestID // 0: belongs to no request
-	attempt *attempt
-	call    *counterCall
-}
-
-// timerHeap is a heap.Interface with the earliest timer first.
-type timerHeap []timerEntry
-
-func (h *timerHeap) add(timer timerEntry) { heap.Push(h, timer) }
-func (h timerHeap) Len() int              { return len(h) }
-func (h timerHeap) Less(i, j int) bool    { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)         { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(timer any)       { *h = append(*h, timer.(timerEntry)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = timerEntry{}
-	*h = old[:len(old)-1]
-	return last
-}
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,25 +13,65 @@
 	"dunlintray/rules"
 )
 
-// A timer of an ended request, attempt or call is obsolete; no other timer is.
-func TestObsoleteTimers(t *testing.T) {
-	loop := &Loop{live: map[rules.RequestID]*exchange{7: {}}}
+// Timers are due in the order of their times, whichever others are removed.
+func TestTimerQueueKeepsItsOrder(t *testing.T) {
+	var queue timerQueue
+	timers := map[float64]*timer{}
+	for _, at := range []float64{5, 3, 8, 1, 9, 2, 7, 4, 6} {
+		timers[at] = &timer{at: at}
+		queue.add(timers[at])
+	}
+	queue.remove(timers[5], timers[1], timers[9], nil, timers[5])
+	var due []float64
+	for timer := queue.popDue(7); timer != nil; timer = queue.popDue(7) {
+		due = append(due, timer.at)
+	}
+	queue.remove(timers[3]) // has been due
+	if next, ok := queue.next(); !slices.Equal(due, []float64{2, 3, 4, 6, 7}) || next != 8 || !ok {
+		t.Errorf("due %v, next %g %t", due, next, ok)
+	}
+}
+
+// Guards against ended requests, attempts and counter calls that stay in memory until their timers
+// are due.
+func TestEndedRequestsLeaveNoTimers(t *testing.T) {
+	config, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := newTestServer(t)
+	metrics := newMetrics(&config)
+	service := metrics.newService(config.Deployment, 0)
+	loop := newLoop(&config, service, metrics, newPools(time.Second, time.Minute, 8, metrics), nil, func() {})
+	loop.receiveListing(listUpdate{listing: newListing(true, "Ready", backend), kind: rules.FullList})
+	idle := len(loop.timers.heap)
 	for _, test := range []struct {
 		name string
-		t    timerEntry
-		want bool
+		end  func(*exchange)
 	}{
-		{"of the decision module", timerEntry{}, false},
-		{"of a live request", timerEntry{request: 7}, false},
-		{"of a request that has ended", timerEntry{request: 8}, true},
-		{"of an attempt in flight", timerEntry{attempt: &attempt{}}, false},
-		{"of an attempt that has ended", timerEntry{attempt: &attempt{ended: true}}, true},
-		{"of an outstanding call", timerEntry{call: &counterCall{}}, false},
-		{"of an answered call", timerEntry{call: &counterCall{ended: true}}, true},
+		{"answered", func(*exchange) { serveOne(t, backend, "ok") }},
+		{"client left", func(exchange *exchange) { loop.dispatch(clientGone{exchange}) }},
 	} {
-		if got := loop.obsolete(test.t); got != test.want {
-			t.Errorf("%s: obsolete %t", test.name, got)
+		exchange := &exchange{service: service, class: &service.Classes[0], counts: service.counts[0], plan: "basic", method: "GET", uri: "/lookup", host: "a", header: http.Header{},
+			responses: make(chan response, 2),
+			request:   rules.Request{Customer: 7, Units: 2, GatewayCount: 2, FirstGateway: 1, Sent: loop.clock.now(), Deadline: loop.clock.now() + 3600}}
+		loop.dispatch(requestArrived{exchange})
+		if exchange.inFlight != 1 || len(loop.timers.heap) < idle+2 {
+			t.Fatalf("%s: %d attempts, %d timers", test.name, exchange.inFlight, len(loop.timers.heap)-idle)
+		}
+		test.end(exchange)
+		for exchange.inFlight > 0 {
+			loop.dispatch(<-loop.inbox)
 		}
+		if left := len(loop.timers.heap) - idle; left != 0 {
+			t.Errorf("%s: %d timers are left", test.name, left)
+		}
+	}
+	call := &counterCall{timer: &timer{at: loop.clock.now() + 1}}
+	loop.timers.add(call.timer)
+	loop.endCounterCall(call, rules.Served, 0)
+	if left := len(loop.timers.heap) - idle; left != 0 {
+		t.Errorf("counter call: %d timers are left", left)
 	}
 }
 
--- a/internal/gateway/slopes_test.go
+++ b/internal/gateway/slopes_test.go
@@ -91,12 +91,12 @@
 		Command: "go test -run - -bench Round -benchtime 1x ./internal/gateway"}
 	for _, size := range listSizes {
 		loop := largeLoop(b, largeList(size))
-		loop.fire(timerEntry{})
+		loop.fire(&timer{})
 		took := math.Inf(1)
 		for range 5 { // the minimum counts, since other processes share the machine
 			start, rounds := processorTime(b), 0
 			for rounds < 3 || processorTime(b)-start < 100*time.Millisecond {
-				loop.fire(timerEntry{})
+				loop.fire(&timer{})
 				rounds++
 			}
 			took = min(took, float64((processorTime(b)-start).Nanoseconds())/1e3/float64(rounds))
