rules: the table of customers is limited, the longest idle are dropped first

Cause: a customer's state stays for 60 s after its last request, and clients choose the names; each 50 ms a gateway also reviews the leases of all of them. Customers with requests, calls or slots are never dropped; the leased units of a dropped one count as spent until its window ends. Measured: TestCustomersAreLimited fails without the limit; go test ./rules ./internal/gateway ./cmd/wirehost passed.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -95,6 +95,7 @@
 	instances      map[rules.BackendID]Instance // on the current list
 	zones          zoneNumbers
 	name           string // of the gateway
+	maxCustomers   int    // in the decision module
 	listHistory    string // of the list that was applied last
 	listVersion    int64
 	subset         *backendSubset           // nil: all listed backends are used
@@ -116,7 +117,7 @@
 func newLoop(config *Config, service *serviceConfig, metrics *metrics, pools *pools, counter *counter, onListApplied func()) *Loop {
 	loop := &Loop{clock: newClock(), service: service, metrics: metrics, pools: pools, counter: counter, onListApplied: onListApplied,
 		resubscribe: make(chan struct{}, 1), inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, zones: zoneNumbers{}, name: config.Name, offline: map[rules.BackendID]bool{}}
+		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, zones: zoneNumbers{}, name: config.Name, maxCustomers: maxCustomers(config.MemoryMB), offline: map[rules.BackendID]bool{}}
 	if config.Members.Enabled {
 		loop.contact = &counterContact{}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -18,7 +18,6 @@
 const (
 	housekeepingInterval = 0.05
 	rejectionLogInterval = 1.0
-	customerIdleTimeout  = 60.0 // state of a customer without requests is dropped after it
 )
 
 // Kinds of timer, in the top byte of a token.
@@ -204,21 +203,7 @@
 		g.arrivalCounts[level] = 0
 	}
 	g.logRejections()
-	kept := g.customerList[:0]
-	for _, quota := range g.customerList {
-		g.expireLease(quota)
-		g.returnIdleSlots(quota)
-		if g.now-quota.lastSeen > customerIdleTimeout && quota.active == 0 && quota.callsInFlight == 0 &&
-			len(quota.queued) == 0 {
-			delete(g.customers, quota.id)
-			continue
-		}
-		kept = append(kept, quota)
-		if len(quota.queued) > 0 {
-			g.admit(quota)
-		}
-	}
-	g.customerList = kept
+	g.reviewCustomers()
 }
 
 // logRejections logs, at most once per rejectionLogInterval, the rejections by reason and the state that
--- a/rules/types.go
+++ b/rules/types.go
@@ -110,6 +110,7 @@
 	MaxRetryAfter  float64 // upper limit of Refuse.RetryAfter
 	MaxAttempts    int     // per request
 	MaxInProgress  int     // requests accepted and not yet answered
+	MaxCustomers   int     // customers whose state is kept; 0: no limit
 	ConnectTimeout float64
 	KeepAlive      float64 // backends close connections that are idle for this long
 
