gateway: one plan divides the memory limit among all that clients can make it hold

Cause: only idle connections and bytes of bodies were counted. An answer that its client reads slowly, or an upload that stops, holds a connection to a backend, buffers and three goroutines (62 KB measured, of which its place counted 20), and no longer counts as work in flight, so nothing bounded their number. Change: memory.go, resourcePlan: connections, requests, attempts, customers and, with the rest, bodies. The module holds attempts back at MaxOutstanding, with the reserve for the top; requests beyond theirs get 503 (app.overloaded); the heap limit leaves 12 MB for the program. Idle connections to backends have no buffers.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -21,10 +21,8 @@
 	"dunlintray/internal/gateway"
 )
 
-const (
-	heapLimitFraction = 0.7 // of the memory limit; the rest is for stacks, sockets and the binary
-	gcPercent         = 400 // of heap growth between collections; the heap is small compared to its limit
-)
+// gcPercent is the growth of the heap between collections. The heap is small compared to its limit.
+const gcPercent = 400
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -59,7 +57,7 @@
 		config.HandoverDir = os.Getenv("TMPDIR")
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(config.Cores)))
-	debug.SetMemoryLimit(int64(float64(config.MemoryMB<<20) * heapLimitFraction))
+	debug.SetMemoryLimit(gateway.HeapLimit(config.MemoryMB))
 	debug.SetGCPercent(gcPercent)
 	log.SetPrefix(config.Name + " ")
 	options.Log(os.Stderr, "gateway", config.Name)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,8 +127,7 @@
 	}
 	var res result
 	var reuse bool
-	conn.requests++
-	conn.framing.beginResponse()
+	conn.beginRequest()
 	if attempt.exchange.upload != nil {
 		res, reuse = p.streamBody(attempt, conn)
 	} else {
@@ -139,6 +138,7 @@
 			p.discard(conn)
 			return result{outcome: rules.ConnectFailed, err: err}
 		}
+		conn.releaseWriter()
 		p.metrics.attempts.Add(1)
 		res, reuse = p.readResponse(attempt, conn)
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -9,13 +9,12 @@
 
 // The start of a body is buffered in full; its remainder passes through a window.
 const (
-	bodyMemoryDivisor = 4               // bodies may take 1/4 of the memory
-	uncountedBytes    = 4 << 10         // buffers up to this size are not counted: each connection holds as much anyway
-	minWindow         = 16 << 10        // bytes
-	maxWindow         = 64 << 10        // bytes, for a transfer that fills its window, while memory is free
-	spareDivisor      = 4               // windows above minWindow leave 1/4 of the budget free
-	budgetTimeout     = 2 * time.Second // for a reservation
-	budgetRetryAfter  = 1               // seconds, for the Retry-After header of a rejected request
+	uncountedBytes   = 4 << 10         // buffers up to this size are not counted: each connection holds as much anyway
+	minWindow        = 16 << 10        // bytes
+	maxWindow        = 64 << 10        // bytes, for a transfer that fills its window, while memory is free
+	spareDivisor     = 4               // windows above minWindow leave 1/4 of the budget free
+	budgetTimeout    = 2 * time.Second // for a reservation
+	budgetRetryAfter = 1               // seconds, for the Retry-After header of a rejected request
 )
 
 var errNoBodyMemory = errors.New("no memory for a body")
@@ -37,9 +36,6 @@
 	granted chan struct{}
 }
 
-// bodyMemory returns the bytes for bodies of a gateway with the given memory.
-func bodyMemory(memoryMB int) int { return memoryMB << 20 / bodyMemoryDivisor }
-
 // setTotal changes the total. Existing reservations stay.
 func (b *budget) setTotal(total int) {
 	b.mu.Lock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	idleConnBytes        = 20 << 10              // memory that an idle client connection takes
-	clientMemoryDivisor  = 4                     // client connections may take 1/4 of the memory
 	minRetryDelay        = 5 * time.Millisecond  // before a failed call is retried
 	maxRetryDelay        = time.Second           // the delay doubles up to this
 	overloadLogInterval  = time.Second           // between log lines of one kind
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -16,20 +17,19 @@
 	peekFD    func(uintptr) bool // peeks at the socket and sets peekErr
 	peekErr   error              // result of the last peek
 	remaining *io.LimitedReader  // bytes of the response that may still be read, headers included
-	reader    *bufio.Reader      // reads from remaining, which reads from the connection
-	writer    *bufio.Writer
-	framing   framingScanner // checks that the framing of the response is unambiguous
-	pool      *backendPool   // the pool that the connection belongs to
-	idleSince time.Time      // zero: in use
-	requests  int            // requests so far, including the current one
-	idleFor   time.Duration  // idle time before the current request
+	reader    *bufio.Reader      // reads from remaining, which reads from the connection; nil while idle
+	writer    *bufio.Writer      // nil unless a request is being written
+	framing   framingScanner     // checks that the framing of the response is unambiguous
+	pool      *backendPool       // the pool that the connection belongs to
+	idleSince time.Time          // zero: in use
+	requests  int                // requests so far, including the current one
+	idleFor   time.Duration      // idle time before the current request
 }
 
 // newBackendConn wraps a connection that belongs to the pool.
 func newBackendConn(conn net.Conn, pool *backendPool) *backendConn {
-	c := &backendConn{Conn: conn, writer: bufio.NewWriter(conn), pool: pool}
+	c := &backendConn{Conn: conn, pool: pool}
 	c.remaining = &io.LimitedReader{R: c}
-	c.reader = bufio.NewReader(c.remaining)
 	c.raw = rawConn(conn)
 	c.peekFD = func(fd uintptr) bool {
 		c.peekErr = peek(fd)
@@ -38,6 +38,42 @@
 	return c
 }
 
+// Buffers of connections that are in use. An idle connection has none.
+var (
+	readerPool = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+	writerPool = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+)
+
+// beginRequest prepares the connection for the next request.
+func (c *backendConn) beginRequest() {
+	c.requests++
+	c.framing.beginResponse()
+	c.reader = readerPool.Get().(*bufio.Reader)
+	c.reader.Reset(c.remaining)
+	c.writer = writerPool.Get().(*bufio.Writer)
+	c.writer.Reset(c.Conn)
+}
+
+// releaseWriter returns the write buffer, once the request has been written.
+func (c *backendConn) releaseWriter() {
+	if c.writer != nil {
+		c.writer.Reset(nil)
+		writerPool.Put(c.writer)
+		c.writer = nil
+	}
+}
+
+// releaseBuffers returns the buffers of a connection that becomes idle. The buffers of one that is
+// discarded may still be in use by another goroutine.
+func (c *backendConn) releaseBuffers() {
+	c.releaseWriter()
+	if c.reader != nil {
+		c.reader.Reset(nil)
+		readerPool.Put(c.reader)
+		c.reader = nil
+	}
+}
+
 // rawConn returns access to a connection's socket, or nil if there is none.
 func rawConn(conn net.Conn) syscall.RawConn {
 	sysConn, ok := conn.(syscall.Conn)
--- a/internal/gateway/download_test.go
+++ b/internal/gateway/download_test.go
@@ -300,6 +300,7 @@
 				exchange := (<-front.loop.inbox).(requestArrived).exchange
 				near, far := net.Pipe()
 				conn := newBackendConn(near, nil)
+				conn.beginRequest()
 				conn.remaining.N = noReadLimit
 				go func() {
 					io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -81,6 +81,7 @@
 type metrics struct {
 	attempts                       atomic.Int64 // attempts whose request was written completely
 	retries                        atomic.Int64 // attempts started after a request's first one
+	overloaded                     atomic.Int64 // requests rejected since as many as allowed were in progress
 	rejected                       [rules.ReasonCount]atomic.Int64
 	loads, loadErrors              atomic.Int64    // configuration reloads applied and rejected
 	inProgress                     atomic.Int64    // requests accepted and not ended
@@ -95,7 +96,7 @@
 }
 
 func newMetrics(config *Config) *metrics {
-	m := &metrics{bodyBudget: budget{total: bodyMemory(config.MemoryMB)}}
+	m := &metrics{bodyBudget: budget{total: config.resourcePlan(1).bodies}}
 	if config.Scopes.subset.Enabled() {
 		m.subset = &subsetMetrics{}
 	}
@@ -141,6 +142,7 @@
 	}
 	line("upstream_tries", &m.attempts, "c")
 	line("retries", &m.retries, "c")
+	line("overloaded", &m.overloaded, "c")
 	for reason := range m.rejected {
 		line("rejected."+rules.Reason(reason).String(), &m.rejected[reason], "c")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,11 +11,8 @@
 	"dunlintray/rules"
 )
 
-const (
-	reservedDescriptors = 64              // descriptors for the counter, discovery, operators and the runtime
-	clientFraction      = 0.55            // of the other descriptors; backends get the rest
-	cachedListDelay     = 3 * time.Second // without discovery, the gateway is ready with a cached list after this
-)
+// cachedListDelay is the time after which, without discovery, the gateway is ready with a cached list.
+const cachedListDelay = 3 * time.Second
 
 // Run serves clients until ctx ends, then answers the requests in progress and returns. From
 // a reloaded configuration it applies the settings, limits, scopes and subset, and the addresses
@@ -41,8 +38,7 @@
 // serve runs a gateway on open listeners. The listener for operators is nil if the configuration
 // has no address for them.
 func serve(ctx context.Context, config *Config, reloads <-chan Reload, listener, operators net.Listener, metrics *metrics) error {
-	_, backends := splitDescriptors(config.Sockets - reservedDescriptors)
-	pools := newPools(seconds(config.ConnectTimeout), seconds(config.KeepAlive), backends, metrics)
+	pools := newPools(seconds(config.ConnectTimeout), seconds(config.KeepAlive), config.resourcePlan(1).backendConns, metrics)
 	var counter *counter
 	if config.Settings.Counter {
 		counter = newCounter(config.Counter, seconds(config.CounterTimeout))
@@ -58,10 +54,11 @@
 	defer front.loop.attempts.Wait() // after the loop, which starts attempts, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
-	limits := &resourceLimits{config: config, apply: func(clients, backends, memory int) {
-		front.clients.setLimit(clients)
-		pools.setMaxOpen(backends)
-		metrics.bodyBudget.setTotal(memory)
+	limits := &resourceLimits{config: config, apply: func(plan resourcePlan) {
+		front.clients.setLimit(plan.clientConns)
+		pools.setMaxOpen(plan.backendConns)
+		metrics.bodyBudget.setTotal(plan.bodies)
+		front.loop.post(planChanged{plan})
 	}}
 	limits.setSiblingRunning(false)
 	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning}
@@ -165,7 +162,7 @@
 // resourceLimits divides the descriptors and the memory that the configuration allows. While
 // two processes of a gateway run, each gets half.
 type resourceLimits struct {
-	apply func(clients, backends, memory int) // limits of connections, and bytes for bodies
+	apply func(resourcePlan)
 
 	mu             sync.Mutex
 	config         *Config
@@ -190,18 +187,11 @@
 
 // divide applies the limits of this process. The caller holds mu.
 func (l *resourceLimits) divide() {
-	sockets, memory := l.config.Sockets-reservedDescriptors, l.config.MemoryMB
+	processes := 1
 	if l.siblingRunning {
-		sockets, memory = l.config.Sockets/2-reservedDescriptors/2, memory/2
+		processes = 2
 	}
-	clients, backends := splitDescriptors(sockets)
-	l.apply(min(clients, memory<<20/clientMemoryDivisor/idleConnBytes), backends, bodyMemory(memory))
-}
-
-// splitDescriptors divides descriptors between clients and backends.
-func splitDescriptors(sockets int) (clients, backends int) {
-	clients = int(float64(sockets) * clientFraction)
-	return clients, sockets - clients
+	l.apply(l.config.resourcePlan(processes))
 }
 
 // seconds converts seconds to a time.Duration.
--- a/internal/gateway/hollow.go
+++ b/internal/gateway/hollow.go
@@ -37,8 +37,7 @@
 	}
 	parsed.observe = observe
 	metrics := newMetrics(&parsed)
-	_, backends := splitDescriptors(parsed.Sockets - reservedDescriptors)
-	hollow := &Hollow{pools: newPools(seconds(parsed.ConnectTimeout), seconds(parsed.KeepAlive), backends, metrics)}
+	hollow := &Hollow{pools: newPools(seconds(parsed.ConnectTimeout), seconds(parsed.KeepAlive), parsed.resourcePlan(1).backendConns, metrics)}
 	hollow.loop = newLoop(&parsed, metrics.newService(parsed.Deployment, parsed.maxBodyBytes()), metrics, hollow.pools, nil, func() {})
 	hollow.follower = newListFollower(&parsed, hollow.loop)
 	if len(scopes) > 0 {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -58,6 +58,7 @@
 	}
 	moduleEvent     struct{ event rules.Event } // an event of this process or its sibling
 	snapshotRequest struct{ snapshot chan<- snapshot }
+	planChanged     struct{ plan resourcePlan }
 	settingsChanged struct {
 		service *serviceConfig
 		subset  subset.Settings
@@ -95,7 +96,7 @@
 	instances      map[rules.BackendID]Instance // on the current list
 	zones          zoneNumbers
 	name           string // of the gateway
-	maxCustomers   int    // in the decision module
+	plan           resourcePlan
 	listHistory    string // of the list that was applied last
 	listVersion    int64
 	subset         *backendSubset           // nil: all listed backends are used
@@ -117,7 +118,7 @@
 func newLoop(config *Config, service *serviceConfig, metrics *metrics, pools *pools, counter *counter, onListApplied func()) *Loop {
 	loop := &Loop{clock: newClock(), service: service, metrics: metrics, pools: pools, counter: counter, onListApplied: onListApplied,
 		resubscribe: make(chan struct{}, 1), inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, zones: zoneNumbers{}, name: config.Name, maxCustomers: maxCustomers(config.MemoryMB), offline: map[rules.BackendID]bool{}}
+		live: map[rules.RequestID]*exchange{}, instances: map[rules.BackendID]Instance{}, zones: zoneNumbers{}, name: config.Name, plan: config.resourcePlan(1), offline: map[rules.BackendID]bool{}}
 	if config.Members.Enabled {
 		loop.contact = &counterContact{}
 	}
@@ -226,6 +227,9 @@
 		message.snapshot <- l.exportState()
 	case operatorOverride:
 		message.known <- l.applyOverride(message.id, message.offline)
+	case planChanged:
+		l.plan = message.plan
+		l.handle(rules.ApplySettings{Settings: l.activeSettings()})
 	case settingsChanged:
 		l.service = message.service
 		l.zones.assign(l.service.Zones)
@@ -264,8 +268,9 @@
 		exchange.responses <- response{status: http.StatusServiceUnavailable}
 		return
 	}
-	if l.service.MaxInProgress > 0 && len(l.live) >= l.service.MaxInProgress {
+	if l.service.MaxInProgress > 0 && len(l.live) >= l.service.MaxInProgress || len(l.live) >= l.plan.requests {
 		exchange.counts.dropped.Add(1)
+		l.metrics.overloaded.Add(1)
 		exchange.responses <- response{status: http.StatusServiceUnavailable} // nothing has been sent to a backend
 		return
 	}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -1,10 +1,71 @@
 package gateway
 
-// Division of the memory limit.
+// What is not on the heap, and the part of the heap that may be in use: the rest is garbage between
+// two collections.
 const (
-	customerBytes         = 512 // state of one customer in the decision module
-	customerMemoryDivisor = 16  // customers may take 1/16 of the memory
+	programBytes        = 12 << 20 // the program, the C library and the system's buffers
+	heapFraction        = 0.7      // of the memory limit
+	minHeapFraction     = 0.25     // of the memory limit, also if the program takes more than the rest
+	heapInUseFraction   = 0.7      // of the heap limit
+	reservedDescriptors = 64       // descriptors for the counter, discovery, operators and the runtime
+	clientFraction      = 0.55     // of the other descriptors; backends get the rest
 )
 
-// maxCustomers returns the number of customers whose state a gateway with the given memory keeps.
-func maxCustomers(memoryMB int) int { return memoryMB << 20 / customerMemoryDivisor / customerBytes }
+// What clients can make a gateway hold, in bytes of heap and stacks, without the bodies.
+const (
+	connectionBytes = 16 << 10 // an idle client connection
+	requestBytes    = 12 << 10 // a request in progress, beyond its connection
+	attemptBytes    = 40 << 10 // an attempt, beyond its request, until its response has been read by the client
+	customerBytes   = 640      // a customer in the decision module
+)
+
+// Fractions of the heap in use. Bodies get what is left.
+const (
+	connectionFraction = 0.375
+	attemptFraction    = 0.25
+	waitingFraction    = 0.1 // requests without an attempt
+	customerFraction   = 0.085
+)
+
+// HeapLimit returns the limit of the heap, in bytes, of a gateway with the given memory.
+func HeapLimit(memoryMB int) int64 {
+	memory := int64(memoryMB) << 20
+	limit := min(int64(heapFraction*float64(memory)), memory-programBytes)
+	return max(limit, int64(minHeapFraction*float64(memory)))
+}
+
+// resourcePlan divides the descriptors and the memory of a gateway among what clients can make it
+// hold. All of it together fits into the limits, so no client needs to be trusted.
+type resourcePlan struct {
+	clientConns  int // client connections
+	backendConns int // connections to backends
+	attempts     int // attempts that have not ended
+	requests     int // requests in progress
+	customers    int // customers whose state is kept
+	bodies       int // bytes for bodies
+}
+
+// resourcePlan returns the plan for one of the given number of processes.
+func (c *Config) resourcePlan(processes int) resourcePlan {
+	return newResourcePlan(c.MemoryMB, c.Sockets, processes)
+}
+
+// newResourcePlan returns the plan for one of the given number of processes that share the limits.
+func newResourcePlan(memoryMB, sockets, processes int) resourcePlan {
+	var plan resourcePlan
+	plan.clientConns, plan.backendConns = splitDescriptors((sockets - reservedDescriptors) / processes)
+	heap := heapInUseFraction * float64(HeapLimit(memoryMB)) / float64(processes)
+	count := func(fraction float64, bytes int) int { return max(int(fraction*heap)/bytes, 1) }
+	plan.clientConns = min(plan.clientConns, count(connectionFraction, connectionBytes))
+	plan.attempts = min(plan.backendConns, count(attemptFraction, attemptBytes))
+	plan.requests = plan.attempts + count(waitingFraction, requestBytes)
+	plan.customers = count(customerFraction, customerBytes)
+	plan.bodies = int(heap) - plan.clientConns*connectionBytes - plan.attempts*attemptBytes - plan.requests*requestBytes - plan.customers*customerBytes
+	return plan
+}
+
+// splitDescriptors divides descriptors between clients and backends.
+func splitDescriptors(sockets int) (clients, backends int) {
+	clients = int(float64(sockets) * clientFraction)
+	return clients, sockets - clients
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -281,6 +281,7 @@
 		p.forget(conn)
 		return
 	}
+	conn.releaseBuffers()
 	conn.idleSince = time.Now()
 	conn.pool.addIdle(conn)
 }
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -49,6 +49,7 @@
 	}
 	request.attempts = append(request.attempts, attempt{target: backend, sent: g.now})
 	request.outstanding++
+	g.outstanding++
 	if g.capacityFraction(backend) < 1 {
 		backend.coldBudget--
 	} else {
@@ -117,6 +118,7 @@
 	attempt, quota := &request.attempts[end.Attempt], request.customer
 	attempt.ended = true
 	request.outstanding--
+	g.outstanding--
 	quota.active--
 	request.bodyConsumed = request.bodyConsumed || end.BodyConsumed
 	if (end.Outcome == TimedOut || end.Outcome == Cancelled) && attempt.counted {
--- a/rules/concurrency_limit.go
+++ b/rules/concurrency_limit.go
@@ -17,12 +17,17 @@
 )
 
 // limitReached reports whether requests of a level have to queue: lower levels may use only a part of the
-// concurrency limit. In a large fleet the limit of one gateway can be less than one attempt; it then
-// applies to the mean number in flight.
+// concurrency limit and of the memory for attempts. In a large fleet the limit of one gateway can be less
+// than one attempt; it then applies to the mean number in flight.
 func (g *Gateway) limitReached(level int) bool {
 	limit, burst := g.concurrencyLimit*g.processFraction, smallLimit*g.processFraction
+	maxOutstanding := float64(g.settings.MaxOutstanding)
 	if g.worths[level] < topWorthFraction*g.worths[len(g.worths)-1] {
 		limit *= 1 - topReserveFraction
+		maxOutstanding *= 1 - topReserveFraction
+	}
+	if maxOutstanding > 0 && float64(g.outstanding) >= maxOutstanding {
+		return true
 	}
 	return float64(g.inFlight) >= max(limit, burst) || limit < burst && g.meanInFlight >= limit
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -31,6 +31,7 @@
 
 	concurrencyLimit, limitCutAt       float64 // limit of attempts in flight, and time of its last reduction
 	inFlight                           int     // attempts that count against the limit
+	outstanding                        int     // attempts that have not ended
 	meanInFlight                       float64
 	pressure                           float64 // mean of latency divided by aim
 	pressureAt                         float64 // time of the last update of pressure
--- a/rules/types.go
+++ b/rules/types.go
@@ -111,6 +111,7 @@
 	MaxAttempts    int     // per request
 	MaxInProgress  int     // requests accepted and not yet answered
 	MaxCustomers   int     // customers whose state is kept; 0: no limit
+	MaxOutstanding int     // attempts that have not ended, also those whose answer has begun; 0: no limit
 	ConnectTimeout float64
 	KeepAlive      float64 // backends close connections that are idle for this long
 
