gateway: no attempt begins for a client that left, whatever it sent behind its request

Cause: the read-ahead ends at 16 KiB, a streamed body is read only once an attempt takes it, and the end of a connection stands behind all bytes before it. Without its end a closed connection looks like a patient client, so retries went on. Change: just before the first byte of an attempt the state that the system has of the client's connection is read (TCP_INFO); CLOSE_WAIT says that an end has come, read or not. What does not fit into the socket hides even that, so the read-ahead discards what it cannot keep, paced after 2 MiB, and all requests behind get 503 after the answer in progress; a count of the headers says how many.

--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -249,6 +249,7 @@
 	fails
 	answersWithoutLength // the body ends with the connection
 	answersLong          // in chunks
+	failsLate            // has not run
 )
 
 // longAnswer is the text after the start of a long answer.
@@ -286,7 +287,7 @@
 	}
 	id := r.Header.Get("X-Correlation-Id")
 	left, _ := strconv.Atoi(r.Header.Get("X-Time-Left-Ms"))
-	s.checker.attemptReceived(id, s.name, time.Duration(left)*time.Millisecond, how != fails)
+	s.checker.attemptReceived(id, s.name, time.Duration(left)*time.Millisecond, how != fails && how != failsLate)
 	wait := func(d time.Duration) {
 		select {
 		case <-time.After(d):
@@ -304,7 +305,10 @@
 			w.(http.Flusher).Flush()
 			wait(after / 10)
 		}
-	case fails:
+	case fails, failsLate:
+		if how == failsLate {
+			wait(after)
+		}
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case hangs:
--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -4,18 +4,28 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// maxReadAhead is the number of bytes of later requests that are buffered while a request is
-// in progress.
-const maxReadAhead = 16 << 10
+const (
+	// maxReadAhead is the number of bytes of later requests that are buffered while a request is
+	// in progress.
+	maxReadAhead = 16 << 10
+
+	// Bytes beyond maxReadAhead are discarded, the first maxUnpacedDiscard at once and the others
+	// in pieces with pauses, so that a client cannot take the processor with them.
+	maxUnpacedDiscard = 2 << 20
+	discardPause      = 2 * time.Millisecond
+)
 
 // readAheadConn reads ahead while a request is in progress and its client has pipelined more.
 // net/http stops watching for a disconnect at the first byte of a next request; without the
-// read-ahead, an attempt could begin for a client that has disconnected.
+// read-ahead, an attempt could begin for a client that has disconnected. An end of the connection
+// may stand behind any number of bytes, so those that are too many to be kept are discarded. Their
+// requests, and those that are buffered, are rejected.
 //
 // net/http calls Read from one goroutine at a time. Between start and the next Read, a
 // goroutine of the readAheadConn reads from the socket.
@@ -28,19 +38,29 @@
 	running  chan struct{} // closed when the read-ahead goroutine has ended; nil if there is none
 	stopped  bool          // nothing more is read from the connection
 
+	discarded  func([]byte) // called with the bytes that are discarded, in order
+	overflowed bool         // bytes have been discarded; nothing buffered may be read
+
 	buffered      []byte       // not yet read by net/http
 	err           error        // returned after buffered
 	bufferedBytes atomic.Int64 // length of buffered, for concurrent readers
 }
 
-// newReadAheadConn wraps a connection.
-func newReadAheadConn(conn net.Conn) *readAheadConn {
-	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{})}
+// errOverflowed reports that pipelined requests were discarded, since they were too long.
+var errOverflowed = errors.New("too many bytes of pipelined requests")
+
+// newReadAheadConn wraps a connection. It calls discarded with the bytes that it discards; the
+// connection cannot be read any more then.
+func newReadAheadConn(conn net.Conn, discarded func([]byte)) *readAheadConn {
+	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), discarded: discarded}
 }
 
 // Read implements net.Conn.
 func (a *readAheadConn) Read(p []byte) (int, error) {
 	a.stop()
+	if a.overflowed {
+		return 0, errOverflowed
+	}
 	if len(a.buffered) > 0 {
 		n := copy(p, a.buffered)
 		if a.buffered = a.buffered[n:]; len(a.buffered) == 0 {
@@ -65,8 +85,7 @@
 	}
 }
 
-// start reads ahead until the next Read, the end of the connection, or until maxReadAhead
-// bytes are buffered.
+// start reads ahead until the next Read or the end of the connection.
 func (a *readAheadConn) start() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -91,6 +110,28 @@
 			return
 		}
 	}
+	a.discard()
+}
+
+// discard reads and discards until the end of the connection or stop.
+func (a *readAheadConn) discard() {
+	buffer := minWindowPool.Get().(*[minWindow]byte)
+	defer minWindowPool.Put(buffer)
+	for total := 0; ; {
+		n, err := a.Conn.Read(buffer[:])
+		if n > 0 {
+			a.overflowed = true
+			a.discarded(buffer[:n])
+		}
+		if err != nil {
+			a.recordEnd(err)
+			return
+		}
+		if total += n; total > maxUnpacedDiscard {
+			time.Sleep(discardPause)
+		}
+		runtime.Gosched()
+	}
 }
 
 // stop ends the read-ahead goroutine and restores the deadline of net/http.
@@ -131,20 +172,3 @@
 	}
 	return a.Conn.SetReadDeadline(t)
 }
-
-// full reports whether the read-ahead has ended because maxReadAhead bytes are buffered. The
-// handler of the request in progress may call it.
-func (a *readAheadConn) full() bool {
-	a.mu.Lock()
-	running := a.running
-	a.mu.Unlock()
-	if running == nil {
-		return false
-	}
-	select {
-	case <-running:
-		return len(a.buffered) >= maxReadAhead
-	default:
-		return false
-	}
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 	units        float64  // of the quota, as the backend reports them; 0: not reported
 	bodyErr      error    // why the client's body is incomplete; the backend has run nothing then
 	bodyConsumed bool     // the client's body can't be sent to another backend
+	clientGone   bool     // the client has disconnected, and nothing was sent
 }
 
 // attempt sends a request to one backend, once. The loop owns all fields but those that mu
@@ -111,6 +112,9 @@
 	return !a.aborted
 }
 
+// errClientGone reports that a client had disconnected when an attempt was about to begin.
+var errClientGone = errors.New("the client has disconnected")
+
 // runAttempt sends a request and waits for the response. An error before the last byte is
 // written proves that the backend has run nothing; a later one proves nothing.
 func (p *pools) runAttempt(attempt *attempt) result {
@@ -125,6 +129,14 @@
 		p.discard(conn)
 		return result{outcome: rules.ConnectFailed}
 	}
+	if attempt.exchange.clientGone() {
+		if attempt.detach() {
+			p.put(conn)
+		} else {
+			p.discard(conn)
+		}
+		return result{outcome: rules.NotStarted, err: errClientGone, clientGone: true}
+	}
 	var res result
 	var reuse bool
 	conn.beginRequest()
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,9 @@
 	"dunlintray/internal/connlimit"
 )
 
+// pipelinedBatch is the number of pipelined requests that are rejected with one write.
+const pipelinedBatch = 100
+
 // clientConn is one connection of a client.
 type clientConn struct {
 	net.Conn
@@ -35,8 +39,9 @@
 
 	mu          sync.Mutex
 	framing     framingScanner
-	headsServed int  // request headers that the server has received
-	rejected    bool // the final response was a rejection; the server may write nothing more
+	overflow    *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
+	headsServed int             // request headers that the server has received
+	rejected    bool            // the final response was a rejection; the server may write nothing more
 }
 
 // Read implements net.Conn. It checks request headers for ambiguous framing and records the
@@ -44,6 +49,10 @@
 // bytes have been read, and from a close alone the client could not know that it never ran.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.readAhead.Read(p)
+	if errors.Is(err, errOverflowed) {
+		c.rejectPipelined()
+		return 0, io.EOF
+	}
 	if n > 0 && c.idle.Load() && !c.beginRequest() {
 		c.rejectRequest(unavailableResponse)
 		return 0, io.EOF
@@ -69,6 +78,38 @@
 	return !c.framing.tooManyFields
 }
 
+// scanDiscarded scans pipelined bytes that the read-ahead discards.
+func (c *clientConn) scanDiscarded(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.overflow == nil {
+		overflow := c.framing
+		overflow.scan(c.readAhead.buffered)
+		c.overflow = &overflow
+	}
+	c.overflow.scan(data)
+}
+
+// rejectPipelined rejects all pipelined requests whose header has arrived, after the response to
+// the request before them. The client cannot know which of them were read.
+func (c *clientConn) rejectPipelined() {
+	c.listener.mu.Lock()
+	c.closeCause = closedPipelined
+	c.listener.mu.Unlock()
+	c.mu.Lock()
+	pending := c.overflow.heads - c.headsServed
+	c.mu.Unlock()
+	c.SetWriteDeadline(time.Now().Add(rejectRequestTimeout))
+	for ; pending > 1; pending -= pipelinedBatch {
+		batch := min(pending-1, pipelinedBatch)
+		if _, err := io.WriteString(c.Conn, strings.Repeat(pipelinedResponse, batch)); err != nil {
+			return
+		}
+	}
+	c.responseStarted.Store(false)
+	c.rejectRequest(unavailableResponse)
+}
+
 // rejectHeader rejects a request whose header or trailer has too many fields.
 func (c *clientConn) rejectHeader() {
 	c.listener.mu.Lock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -46,6 +46,9 @@
 // badGatewayResponse ends a request that may have reached a backend.
 const badGatewayResponse = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// pipelinedResponse rejects a pipelined request that is not the last one.
+const pipelinedResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+
 // headerFieldsResponse rejects a request whose header has too many fields.
 const headerFieldsResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
@@ -57,10 +60,11 @@
 	closedShutdown            // closed by the shutdown
 	closedRejected            // not admitted
 	closedHeaderFields        // a header has too many fields
+	closedPipelined           // too many bytes of pipelined requests
 	closeCauseCount
 )
 
-var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away", "header_fields"}
+var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away", "header_fields", "pipelined"}
 
 // clientListener accepts client connections and owns them until they are closed. Its table
 // decides which connection is evicted to make room for another.
@@ -367,7 +371,8 @@
 	if tcp, ok := accepted.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	conn := &clientConn{Conn: accepted, listener: l, readAhead: newReadAheadConn(accepted)}
+	conn := &clientConn{Conn: accepted, listener: l}
+	conn.readAhead = newReadAheadConn(accepted, conn.scanDiscarded)
 	conn.idle.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
@@ -436,10 +441,10 @@
 	case http.StateActive:
 		conn.setState(connlimit.Busy)
 	case http.StateIdle:
-		if conn.betweenRequests() {
-			conn.setState(connlimit.Idle)
-		} else {
+		if conn.pipelined() {
 			conn.setState(connlimit.Head) // bytes of the next request have been read
+		} else {
+			conn.setState(connlimit.Idle)
 		}
 	}
 }
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -475,3 +475,55 @@
 		}
 	}
 }
+
+// Guards against pipelined requests that are read and get no answer, however many bytes they have.
+func TestAllPipelinedRequestsAreAnswered(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{1, 40, 80, 100, 1000} {
+		backend := newTestServer(t)
+		gateway := newTestGateway(t, backend)
+		text := requestText("GET", "lookup", "")
+		conn := gateway.send(t, text)
+		upstream, reader := backend.accept(t)
+		readRequest(t, reader)
+		go io.WriteString(conn, strings.Repeat(text, count))
+		if count*len(text) > maxReadAhead {
+			time.Sleep(200 * time.Millisecond) // the read-ahead has all of them
+		}
+		io.WriteString(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		go func() {
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				io.WriteString(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+		go func() {
+			for other := range backend.conns {
+				go func() {
+					for reader := bufio.NewReader(other); ; {
+						if _, err := http.ReadRequest(reader); err != nil {
+							return
+						}
+						io.WriteString(other, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					}
+				}()
+			}
+		}()
+		answered, responses := 0, bufio.NewReader(conn)
+		for answered <= count {
+			resp, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				break
+			}
+			io.Copy(io.Discard, resp.Body)
+			if answered++; resp.StatusCode != 200 && resp.StatusCode != 503 {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		}
+		if answered != count+1 {
+			t.Errorf("%d of %d requests were answered", answered, count+1)
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -41,6 +41,7 @@
 // exchange is one request of a client and its response.
 type exchange struct {
 	request        rules.Request // the loop sets its id
+	conn           *clientConn   // nil if the client's connection is of another type
 	method         string
 	uri            string
 	host           string
@@ -73,6 +74,12 @@
 	rejectReason    string   // empty if the request was not rejected
 }
 
+// clientGone reports whether the client has disconnected. It also finds an end of the connection
+// that stands behind unread bytes.
+func (x *exchange) clientGone() bool {
+	return x.conn != nil && (x.conn.peerClosed() || closedByPeerState(x.conn.Conn))
+}
+
 // discardResponses discards responses whose handler has returned.
 func (x *exchange) discardResponses(budget *budget) {
 	for {
@@ -89,6 +96,7 @@
 type response struct {
 	status         int
 	fromBackend    bool    // false if the gateway generated it
+	clientGone     bool    // nobody waits for it: the connection is aborted
 	retryAfter     float64 // seconds; 0: no Retry-After header
 	header         http.Header
 	trailer        http.Header // nil: none
@@ -239,11 +247,14 @@
 				}
 				continue
 			}
+			if response.clientGone {
+				panic(http.ErrAbortHandler)
+			}
 			if !response.fromBackend {
 				f.paceLocalAnswer(conn, rejectionPause(exchange.timeout))
 			}
 			w.Header().Del("Connection")
-			if f.shuttingDown.Load() && (conn == nil || !conn.pipelined()) || !exchange.upload.complete() || conn != nil && conn.readAhead.full() {
+			if f.shuttingDown.Load() && (conn == nil || !conn.pipelined()) || !exchange.upload.complete() {
 				w.Header().Set("Connection", "close")
 			}
 			control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -296,7 +307,7 @@
 // it returns the status of the response.
 func (f *frontend) read(r *http.Request, control *http.ResponseController) (*exchange, int, error) {
 	now := f.loop.clock.now()
-	exchange := &exchange{method: r.Method, uri: originForm(r.RequestURI), host: r.Host, responses: make(chan response, 2)}
+	exchange := &exchange{conn: connOf(r), method: r.Method, uri: originForm(r.RequestURI), host: r.Host, responses: make(chan response, 2)}
 	exchange.service = f.service.Load()
 	request, err := exchange.service.parseRequest(r)
 	if err != nil {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -214,6 +214,11 @@
 			exchange.responses <- message.response // the second slot is reserved for the final response
 		}
 	case attemptDone:
+		if exchange := message.attempt.exchange; message.result.clientGone && exchange.inProgress && !exchange.responseStarted {
+			l.trace(exchange, "client left")
+			exchange.responses <- response{clientGone: true}
+			l.abandon(exchange)
+		}
 		if exchange := message.attempt.exchange; message.result.bodyErr != nil && exchange.inProgress && !exchange.responseStarted {
 			exchange.responses <- response{status: uploadStatus(message.result.bodyErr)}
 			l.abandon(exchange)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -42,26 +42,47 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// sinceLastSegment returns the time since the peer's last segment arrived, if known. For a
-// connection that was just accepted, this is its time in the accept queue.
-func sinceLastSegment(conn net.Conn) (time.Duration, bool) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return 0, false
+// tcpInfo returns the system's information about a connection, if it is known.
+func tcpInfo(conn net.Conn) (info syscall.TCPInfo, ok bool) {
+	raw := rawConn(conn)
+	if raw == nil {
+		return info, false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	var info syscall.TCPInfo
 	size := uint32(unsafe.Sizeof(info))
 	var errno syscall.Errno
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
 			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
 	})
-	if err != nil || errno != 0 {
-		return 0, false
+	return info, err == nil && errno == 0
+}
+
+// sinceLastSegment returns the time since the peer's last segment arrived, if known. For a
+// connection that was just accepted, this is its time in the accept queue.
+func sinceLastSegment(conn net.Conn) (time.Duration, bool) {
+	info, ok := tcpInfo(conn)
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, ok
+}
+
+// States of a TCP connection whose peer has closed it or its sending side, as TCP_INFO numbers
+// them.
+const (
+	tcpStateClose     = 7
+	tcpStateCloseWait = 8
+	tcpStateLastAck   = 9
+	tcpStateClosing   = 11
+)
+
+// closedByPeerState reports whether the peer has closed the connection, also if bytes before the
+// end have not been read. It returns false if that is unknown.
+func closedByPeerState(conn net.Conn) bool {
+	info, ok := tcpInfo(conn)
+	if !ok {
+		return false
+	}
+	switch info.State {
+	case tcpStateClose, tcpStateCloseWait, tcpStateLastAck, tcpStateClosing:
+		return true
 	}
-	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
+	return false
 }
