gateway: a response that its backend still writes is not cut off, however slow

Cause: download.copyTo gave the backend of a response of known length 10 s of waits in all and 4 kB a second beyond; below that rate the response ended. The limit was meant for peers that hold a place without end, but here the work is done, and the client decides how long it waits. Change: backends have no minimum rate, 10 s without a byte stay the limit. Found beside it: the end of a chunked response was written under the deadline of its last piece, which a slow client shortens; it has a deadline of its own. Measured: TestSlowlyWrittenResponseIsComplete fails before with 2 bytes of 60 and passes; go test ./internal/gateway passed.

--- a/internal/gateway/download_test.go
+++ b/internal/gateway/download_test.go
@@ -338,3 +338,66 @@
 		})
 	}
 }
+
+// Guards against long answers that are cut off while their backend still writes them, however slowly.
+func TestSlowlyWrittenResponseIsComplete(t *testing.T) {
+	const pieces = 60
+	for name, test := range map[string]struct {
+		head, end string
+		interval  time.Duration
+	}{
+		"with a length": {"Content-Length: 60\r\n\r\n", "", 5 * time.Second},
+		"in chunks":     {"Transfer-Encoding: chunked\r\n\r\n3c\r\n", "\r\n0\r\n\r\n", 9 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				front, listener := newPipedFrontend(t)
+				client, server := net.Pipe()
+				defer client.Close()
+				listener.conns <- server
+				io.WriteString(client, requestText("GET", "lookup", ""))
+				exchange := (<-front.loop.inbox).(requestArrived).exchange
+				near, far := net.Pipe()
+				conn := newBackendConn(near, nil)
+				conn.beginRequest()
+				conn.remaining.N = noReadLimit
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					io.WriteString(far, "HTTP/1.1 200 OK\r\n"+test.head)
+					for range pieces {
+						time.Sleep(test.interval) // synctest time
+						io.WriteString(far, "x")
+					}
+					time.Sleep(test.interval)
+					io.WriteString(far, test.end)
+				}()
+				resp, err := http.ReadResponse(conn.reader, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				download := &download{body: resp.Body, length: resp.ContentLength, conn: conn, prefix: newBodyPrefix(resp.Body, resp.ContentLength, 0),
+					window: window{budget: &front.metrics.bodyBudget}, metrics: front.metrics, done: make(chan rules.Outcome, 1)}
+				if resp.ContentLength < 0 {
+					download.chunked = &chunkedReader{reader: conn.reader}
+					download.body = download.chunked
+					download.prefix = newBodyPrefix(download.body, -1, 0)
+				}
+				exchange.responses <- response{status: 200, fromBackend: true, header: resp.Header, length: resp.ContentLength, download: download}
+				received, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if body, err := io.ReadAll(received.Body); len(body) != pieces || err != nil {
+					t.Errorf("%d bytes of %d, %v", len(body), pieces, err)
+				}
+				if outcome := <-download.done; outcome != rules.Served {
+					t.Errorf("outcome %d", outcome)
+				}
+				near.Close()
+				far.Close()
+				<-written
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -472,11 +472,8 @@
 // means that the client's side failed, and Broken that the backend's did.
 func (d *download) copyTo(w http.ResponseWriter, control *http.ResponseController) (rules.Outcome, error) {
 	defer d.window.release()
-	backendPace := pace{maxPause: stallTimeout, grace: stallTimeout}
+	backendPace := pace{maxPause: stallTimeout, grace: stallTimeout} // no minimum rate: its work is done
 	clientPace := pace{maxPause: stallTimeout, grace: stallTimeout, minRate: minTransferRate}
-	if d.length >= 0 {
-		backendPace.minRate = minTransferRate // a body of unknown length may be a stream of rare events
-	}
 	d.conn.SetReadDeadline(time.Now().Add(stallTimeout)) // for the goroutine that fills the prefix
 	for offset := 0; ; {
 		piece, err := d.prefix.next(offset)
@@ -500,6 +497,7 @@
 		}
 		switch {
 		case err == io.EOF:
+			control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the last one may be over by now
 			return rules.Served, nil
 		case err != nil:
 			return rules.Broken, err
