gateway: a large request is answered in time while its backend reads it slowly

Cause: the time of a streamed request began once its last byte had been read from the client. A client that has written everything waits from then on, but the bytes are in the buffers of the sockets, and a slow backend leaves them there: until the end nothing but the pace of 10 s bounded the request. Change: the time by which the last byte can have been sent is known all along (bodyArrival); the loop checks it with a timer and ends the request when it and the client's time have passed. A body of known length of which over 4 MiB is missing has not been sent whole, so long uploads go on.

--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -12,33 +12,49 @@
 // counts from then. The gateway may read the byte much later, since a body waits in the
 // socket buffers while its request is queued or the backend reads slowly.
 //
-// When the socket is empty and the body incomplete, the last byte has not arrived. The latest
+// When the socket is empty and the body incomplete, the last byte has not arrived. If more of the
+// body is missing than the client's system can hold, the last byte has not been sent. The latest
 // such time is the lower bound that counts as the time of the last byte.
 //
 // It is safe for concurrent use.
 type bodyArrival struct {
-	conn *clientConn // nil if the socket cannot be inspected
+	conn   *clientConn // nil if the socket cannot be inspected
+	length int64       // bytes; -1 if unknown
+	before uint64      // bytes of earlier bodies on the connection
 
 	mu             sync.Mutex
 	lastIncomplete time.Time // latest time at which the body was known to be incomplete
 	complete       bool      // the last byte has been read
 }
 
+// maxSendBuffer is the number of bytes that the client's system may hold for sending.
+const maxSendBuffer = 4 << 20
+
 // start begins the observation of a body of which nothing has been read.
-func (a *bodyArrival) start(conn *clientConn) {
-	a.conn, a.lastIncomplete = conn, time.Now()
+func (a *bodyArrival) start(conn *clientConn, length int64) {
+	a.conn, a.length, a.lastIncomplete = conn, length, time.Now()
+	if conn != nil {
+		a.before = conn.earlierBodyBytes()
+	}
 }
 
 // checkMissing reports whether a part of the body has still to be sent, or may have. If so, it
 // records that the body is incomplete now.
 func (a *bodyArrival) checkMissing() (missing bool) {
-	if a.conn != nil && (a.conn.betweenRequests() || a.conn.unread.unread(a.conn.Conn) > 0) {
+	if a.conn != nil && (a.conn.betweenRequests() || a.mayHaveBeenSent(a.conn.unread.unread(a.conn.Conn))) {
 		return false
 	}
 	a.markIncomplete()
 	return true
 }
 
+// mayHaveBeenSent reports whether the whole body may have been sent, if the given number of bytes
+// is unread in the socket.
+func (a *bodyArrival) mayHaveBeenSent(unread int) bool {
+	received := int64(a.conn.bodyBytes()-a.before) + int64(unread)
+	return unread > 0 && (a.length < 0 || a.length-received <= maxSendBuffer)
+}
+
 // markIncomplete records that the body is incomplete now.
 func (a *bodyArrival) markIncomplete() {
 	a.mu.Lock()
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -71,6 +71,7 @@
 	inFlight        int     // attempts in flight
 	attempts        []*attempt
 	timers          []*timer // of the decision module
+	bodyTimer       *timer   // for the time by which a body that is arriving must have been forwarded
 	rejectReason    string   // empty if the request was not rejected
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -327,6 +327,7 @@
 	if !exchange.inProgress {
 		return
 	}
+	l.timers.remove(exchange.bodyTimer)
 	exchange.request.BodyPending, exchange.request.Sent = false, l.clock.now()
 	exchange.request.Deadline = exchange.request.Sent + time.Until(deadline).Seconds()
 	l.accept(exchange)
@@ -511,7 +512,9 @@
 		l.metrics.retries.Add(1)
 	}
 	attempt.ctx, attempt.cancel = context.WithCancel(context.Background())
-	if !exchange.request.BodyPending {
+	if exchange.request.BodyPending {
+		l.checkBodyTime(exchange)
+	} else {
 		l.setAttemptTimer(attempt)
 	}
 	l.attempts.Go(func() { // ends by attempt.wallDeadline, or when the attempt is aborted
@@ -607,6 +610,7 @@
 	if !exchange.inProgress && exchange.inFlight == 0 {
 		delete(l.live, exchange.request.ID)
 		l.timers.remove(exchange.timers...)
+		l.timers.remove(exchange.bodyTimer)
 		exchange.timers = nil
 	}
 }
@@ -644,6 +648,22 @@
 	l.handle(rules.CounterReply{Name: call.name, Outcome: outcome, Total: total, Took: l.clock.now() - call.sent})
 }
 
+// checkBodyTime ends a request whose client has probably sent its whole body and waited for as
+// long as it said: the body may be in the buffers of the sockets, if its backend reads slowly.
+func (l *Loop) checkBodyTime(exchange *exchange) {
+	if !exchange.inProgress || !exchange.request.BodyPending || exchange.responseStarted {
+		return
+	}
+	remaining := exchange.upload.remaining() - seconds(responseMargin)
+	if remaining <= 0 {
+		l.completeBody(exchange, time.Now())
+		return
+	}
+	l.timers.remove(exchange.bodyTimer)
+	exchange.bodyTimer = &timer{at: l.clock.now() + remaining.Seconds(), body: exchange}
+	l.timers.add(exchange.bodyTimer)
+}
+
 // setModuleTimer sets a timer of the decision module, unless its request has ended.
 func (l *Loop) setModuleTimer(action rules.SetTimer) {
 	timer := &timer{at: l.clock.now() + max(action.Delay, 0), token: action.Token, request: action.Request}
@@ -669,6 +689,8 @@
 	case timer.attempt != nil:
 		timer.attempt.abort()
 		l.endAttempt(timer.attempt, result{outcome: rules.TimedOut})
+	case timer.body != nil:
+		l.checkBodyTime(timer.body)
 	case timer.call != nil:
 		timer.call.abandoned.Store(true)
 		l.endCounterCall(timer.call, rules.TimedOut, 0)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -182,7 +182,7 @@
 		// The time that the header took counts too.
 		pace: pace{maxPause: readTimeout, grace: readTimeout, minRate: minClientRate, waited: time.Since(requestStart(r))}}
 	body.conn = connOf(r)
-	body.arrival.start(body.conn)
+	body.arrival.start(body.conn, r.ContentLength)
 	if body.conn != nil {
 		body.earlierBytes = body.conn.earlierBodyBytes()
 	}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -6,14 +6,15 @@
 	"dunlintray/rules"
 )
 
-// timer is a timer of the decision module, or the timeout of an attempt or a counter call.
+// timer is a timer of the decision module, or the timeout of an attempt, a counter call or a body.
 type timer struct {
 	at      float64         // seconds on the loop's clock
 	token   uint64          // of the decision module
 	request rules.RequestID // 0: belongs to no request
 	attempt *attempt
 	call    *counterCall
-	index   int // position in the heap; -1 if it is not set
+	body    *exchange // whose body is arriving
+	index   int       // position in the heap; -1 if it is not set
 }
 
 // timerQueue holds the timers that are set. A timer is removed with the request, attempt or call
