gateway: a request that may have run does not run again under its id

Cause: nothing knew a request beyond its final answer. A client that leaves ends its request, but a backend may have run it; the same id was then a new request. Evidence: TestRequestOfClientThatLeftRunsOnce without the check: each of eight ids of keyed and unsafe classes reached a server twice. The number of ids is bounded by memory.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -128,7 +128,8 @@
 	shuttingDown atomic.Bool // connections are closed after their response
 	clients      *clientListener
 	metrics      *metrics
-	pacer        *answerPacer // nil: local answers are not paced
+	pacer        *answerPacer                         // nil: local answers are not paced
+	claim        func(identity uint64) (granted bool) // nil: there is never a sibling process
 }
 
 // server returns the HTTP server for clients. The deadlines for bodies and responses
@@ -223,6 +224,15 @@
 	if exchange.upload != nil {
 		defer exchange.upload.releaseMemory()
 	}
+	if f.claim != nil && !exchange.replayable() && !f.claim(exchange.request.Identity) {
+		exchange.counts.badGateway.Add(1)
+		f.metrics.rejected[rules.RejectedReplay].Add(1)
+		if exchange.upload != nil {
+			w.Header().Set("Connection", "close") // the rest of the body may still arrive
+		}
+		http.Error(w, "the other process has this request", http.StatusBadGateway)
+		return
+	}
 	if !f.loop.post(requestArrived{exchange}) {
 		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		return
@@ -334,6 +344,7 @@
 		}
 		now = f.loop.clock.now() // the client timeout counts from the last byte
 	}
+	exchange.request.Identity = requestIdentity(r.Header.Get(idHeader))
 	exchange.request.Sent = now
 	exchange.request.Deadline += now - responseMargin
 	exchange.header = endToEndHeaders(r.Header)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning}
 	front.loop.receiveListing(listUpdate{listing: config.Scopes.filterListing(config.Known), kind: rules.CachedList})
 	if config.HandoverDir != "" {
+		front.claim = handover.claim
 		imported, err := handover.join(ctx, config.HandoverDir)
 		if err != nil {
 			slog.Error("starting without state", "error", err)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -45,6 +45,16 @@
 	Leaving        bool             `json:",omitempty"`      // old to new: the sender accepts no more clients
 	Override       *overrideMessage `json:"Call,omitempty"`
 	OverrideResult *overrideMessage `json:"Said,omitempty"`
+	Claims         bool             `json:",omitempty"` // with Join and Snapshot: the sender answers claims
+	Claim          *claimMessage    `json:",omitempty"` // the sender is about to accept a request
+	ClaimResult    *claimMessage    `json:",omitempty"`
+}
+
+// claimMessage is a claim of the id of a request, or the result of one, which has the same Number.
+type claimMessage struct {
+	Number   int
+	Identity uint64
+	Granted  bool
 }
 
 // overrideMessage is an operator override, or the result of one, which has the same Number.
@@ -59,11 +69,12 @@
 type siblingConn struct {
 	conn    net.Conn
 	decoder *json.Decoder
+	claims  bool // the sibling answers claims; set before the connection is shared
 
 	mu             sync.Mutex
 	encoder        *json.Encoder
 	lastCallNumber int
-	pendingCalls   map[int]chan bool // overrides without a result, by number
+	pendingCalls   map[int]chan bool // overrides and claims without a result, by number
 
 	serving chan struct{} // closed once the sibling has reported that it serves
 	closed  chan struct{} // closed once nothing is received on it any more
@@ -81,11 +92,18 @@
 	return s.encoder.Encode(message)
 }
 
-var errNoSiblingReply = errors.New("the sibling process did not answer an operator override")
+var errNoSiblingReply = errors.New("the sibling process did not answer")
 
-// forwardOverride sends an operator override and waits for its result. It returns errNoSiblingReply
-// if none comes within siblingCallTimeout or before the connection ends.
+// forwardOverride sends an operator override and waits for its result.
 func (s *siblingConn) forwardOverride(id string, offline bool) (known bool, err error) {
+	return s.call(siblingCallTimeout, func(number int) handoverMessage {
+		return handoverMessage{Override: &overrideMessage{Number: number, ID: id, Offline: offline}}
+	})
+}
+
+// call sends the message for a call with the given number and waits for its result. It returns
+// errNoSiblingReply if none comes within the timeout or before the connection ends.
+func (s *siblingConn) call(timeout time.Duration, message func(number int) handoverMessage) (result bool, err error) {
 	done := make(chan bool, 1)
 	s.mu.Lock()
 	s.lastCallNumber++
@@ -97,29 +115,29 @@
 		defer s.mu.Unlock()
 		delete(s.pendingCalls, number)
 	}()
-	if err := s.send(handoverMessage{Override: &overrideMessage{Number: number, ID: id, Offline: offline}}); err != nil {
+	if err := s.send(message(number)); err != nil {
 		return false, err
 	}
-	timeout := time.NewTimer(siblingCallTimeout)
-	defer timeout.Stop()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
-	case known, ok := <-done:
+	case result, ok := <-done:
 		if !ok {
 			return false, errNoSiblingReply
 		}
-		return known, nil
-	case <-timeout.C:
+		return result, nil
+	case <-timer.C:
 		return false, errNoSiblingReply
 	}
 }
 
-// completeOverride delivers the result of an override to the forwardOverride that waits for it.
-func (s *siblingConn) completeOverride(result overrideMessage) {
+// complete delivers the result of a call to the one that waits for it.
+func (s *siblingConn) complete(number int, result bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if done := s.pendingCalls[result.Number]; done != nil {
-		done <- result.Known
-		delete(s.pendingCalls, result.Number)
+	if done := s.pendingCalls[number]; done != nil {
+		done <- result
+		delete(s.pendingCalls, number)
 	}
 }
 
@@ -173,7 +191,7 @@
 	deadline, _ := ctx.Deadline()
 	conn.SetReadDeadline(deadline)
 	requestedAt := h.loop.clock.now()
-	if err = sibling.send(handoverMessage{Join: true}); err == nil {
+	if err = sibling.send(handoverMessage{Join: true, Claims: true}); err == nil {
 		err = sibling.decoder.Decode(&reply)
 	}
 	if err == nil && reply.Snapshot == nil {
@@ -184,6 +202,7 @@
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Time{})
+	sibling.claims = reply.Claims
 	reply.Snapshot.Rules.ShiftTimes(clockStep(reply.Snapshot.At, requestedAt, h.loop.clock.now()))
 	h.setSibling(sibling, false)
 	return reply.Snapshot, nil
@@ -226,7 +245,14 @@
 			message.Override.Known = h.loop.override(message.Override.ID, message.Override.Offline)
 			sibling.send(handoverMessage{OverrideResult: message.Override})
 		case message.OverrideResult != nil:
-			sibling.completeOverride(*message.OverrideResult)
+			sibling.complete(message.OverrideResult.Number, message.OverrideResult.Known)
+		case message.Claim != nil:
+			message.Claim.Granted = h.loop.claimIdentity(message.Claim.Identity)
+			if message.Claim.Number != 0 {
+				sibling.send(handoverMessage{ClaimResult: message.Claim})
+			}
+		case message.ClaimResult != nil:
+			sibling.complete(message.ClaimResult.Number, message.ClaimResult.Granted)
 		case message.Serving:
 			h.mu.Lock()
 			if !h.successorServing {
@@ -307,6 +333,7 @@
 		return errors.New("the first message of a successor process is not a join")
 	}
 	conn.SetReadDeadline(time.Time{})
+	sibling.claims = request.Claims
 	// Danger: an operator override must reach both processes. From setSibling on, each is applied
 	// here and sent to the successor; the lock keeps it behind the state.
 	sibling.mu.Lock()
@@ -321,7 +348,7 @@
 	select {
 	case state := <-exported:
 		conn.SetWriteDeadline(time.Now().Add(siblingCallTimeout))
-		if err := sibling.encoder.Encode(handoverMessage{Snapshot: &state}); err != nil {
+		if err := sibling.encoder.Encode(handoverMessage{Snapshot: &state, Claims: true}); err != nil {
 			return err
 		}
 	case <-h.loop.stopped:
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -56,6 +56,10 @@
 		offline bool
 		known   chan<- bool // buffered
 	}
+	identityClaim struct { // the sibling process is about to accept a request
+		identity uint64
+		granted  chan<- bool // buffered
+	}
 	moduleEvent     struct{ event rules.Event } // an event of this process or its sibling
 	snapshotRequest struct{ snapshot chan<- snapshot }
 	planChanged     struct{ plan resourcePlan }
@@ -226,6 +230,8 @@
 		l.endAttempt(message.attempt, message.result)
 	case counterCallDone:
 		l.endCounterCall(message.call, message.outcome, message.total)
+	case identityClaim:
+		message.granted <- l.gateway.ClaimIdentity(l.clock.now(), message.identity)
 	case moduleEvent:
 		l.handle(message.event)
 	case snapshotRequest:
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -17,6 +17,7 @@
 	requestBytes    = 12 << 10 // a request in progress, beyond its connection
 	attemptBytes    = 40 << 10 // an attempt, beyond its request, until its response has been read by the client
 	customerBytes   = 640      // a customer in the decision module
+	identityBytes   = 64       // the id of a request that may have run
 )
 
 // Fractions of the heap in use. Bodies get what is left.
@@ -25,6 +26,7 @@
 	attemptFraction    = 0.25
 	waitingFraction    = 0.1 // requests without an attempt
 	customerFraction   = 0.085
+	identityFraction   = 0.02
 )
 
 // HeapLimit returns the limit of the heap, in bytes, of a gateway with the given memory.
@@ -42,6 +44,7 @@
 	attempts     int // attempts that have not ended
 	requests     int // requests in progress
 	customers    int // customers whose state is kept
+	identities   int // ids of requests that are kept
 	bodies       int // bytes for bodies
 }
 
@@ -60,7 +63,9 @@
 	plan.attempts = min(plan.backendConns, count(attemptFraction, attemptBytes))
 	plan.requests = plan.attempts + count(waitingFraction, requestBytes)
 	plan.customers = count(customerFraction, customerBytes)
-	plan.bodies = int(heap) - plan.clientConns*connectionBytes - plan.attempts*attemptBytes - plan.requests*requestBytes - plan.customers*customerBytes
+	plan.identities = count(identityFraction, identityBytes)
+	plan.bodies = int(heap) - plan.clientConns*connectionBytes - plan.attempts*attemptBytes - plan.requests*requestBytes -
+		plan.customers*customerBytes - plan.identities*identityBytes
 	return plan
 }
 
--- a/internal/gateway/scopes.go
+++ b/internal/gateway/scopes.go
@@ -237,7 +237,7 @@
 // the number by which the module knows the gateway's zone.
 func (l *Loop) activeSettings() rules.Settings {
 	settings := l.service.Settings
-	settings.MaxCustomers, settings.MaxOutstanding = l.plan.customers, l.plan.attempts
+	settings.MaxCustomers, settings.MaxOutstanding, settings.MaxIdentities = l.plan.customers, l.plan.attempts, l.plan.identities
 	settings.Zone = l.zones.numberAt(l.service.Zones, settings.Zone)
 	if l.subset != nil {
 		settings.GatewaysPerBackend = l.subset.gatewaysPerBackend
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -148,7 +148,7 @@
 		g.reject(request, RejectedNoRetry)
 	}
 	if request.finished && request.outstanding == 0 {
-		delete(g.requests, request.id)
+		g.forget(request)
 	}
 	g.admit(request.customer)
 }
@@ -241,7 +241,7 @@
 		}
 	}
 	if request.outstanding == 0 {
-		delete(g.requests, request.id)
+		g.forget(request)
 	}
 }
 
--- a/rules/reason.go
+++ b/rules/reason.go
@@ -14,13 +14,14 @@
 	RejectedNoRetry                    // its attempt failed and no retry was possible
 	RejectedNoAnswer                   // its attempt was not answered in time
 	RejectedStopping                   // the process ends before its time is over
+	RejectedReplay                     // a request with the same id may have run
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{"too_late", "over_quota", "no_counter", "no_lease", "no_room", "held_out",
-	"no_retry", "no_answer", "stopping"}
+	"no_retry", "no_answer", "stopping", "replay"}
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -91,6 +91,9 @@
 // acceptRequest starts the processing of a request. Two timers ensure that it is answered in time.
 func (g *Gateway) acceptRequest(received Request) {
 	request := g.newPendingRequest(received)
+	if g.rejectReplay(request) {
+		return
+	}
 	request.answerBy = g.lastUsefulAnswer(request)
 	g.requests[received.ID] = request
 	g.arrivalCounts[request.level]++
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,6 +20,7 @@
 	worths          []float64           // by level, ascending
 	backendByID     map[BackendID]*backendStatus
 	backendList     []*backendStatus // the same, sorted by ID
+	identities      identityTable
 	customers       map[CustomerID]*customerQuota
 	customerList    []*customerQuota         // the same, in order of the first request
 	pendingCalls    map[uint64][]counterCall // by counter name, in order
@@ -62,6 +63,7 @@
 // settings, since new settings may give an index another meaning.
 type pendingRequest struct {
 	id                            RequestID
+	identity                      uint64 // 0: not recorded
 	units                         float64
 	sent                          float64 // time at which the client sent it or, if later, its body was complete
 	deadline                      float64 // time at which the client stops waiting
@@ -85,6 +87,7 @@
 func (g *Gateway) newPendingRequest(received Request) *pendingRequest {
 	request := &pendingRequest{
 		id:          received.ID,
+		identity:    received.Identity,
 		units:       received.Units,
 		sent:        received.Sent,
 		deadline:    received.Deadline,
--- a/rules/transfer.go
+++ b/rules/transfer.go
@@ -42,6 +42,7 @@
 				ExhaustedUntil: quota.exhaustedUntil, Backoff: quota.backoff,
 				BackoffUntil: quota.backoffUntil, LocalUnits: quota.localUnits, LocalUnitsAt: quota.localUnitsAt})
 	}
+	snapshot.Identities = g.identities.records()
 	g.setProcessFraction(handOverFraction)
 	g.emit(Exported{Snapshot: snapshot})
 }
@@ -91,6 +92,9 @@
 		g.customers[record.ID] = quota
 		g.customerList = append(g.customerList, quota)
 	}
+	for _, record := range snapshot.Identities {
+		g.identities.add(record.Identity, record.AcceptedAt, g.settings.MaxIdentities)
+	}
 	g.setProcessFraction(handOverFraction)
 }
 
@@ -116,6 +120,9 @@
 		shiftAll(offset, &record.LastSeen, &record.Expires, &record.ExhaustedUntil, &record.BackoffUntil,
 			&record.LocalUnitsAt)
 	}
+	for i := range s.Identities {
+		shiftAll(offset, &s.Identities[i].AcceptedAt)
+	}
 }
 
 // shiftAll adds the offset to each time that is not 0.
--- a/rules/types.go
+++ b/rules/types.go
@@ -111,6 +111,7 @@
 	MaxAttempts    int     // per request
 	MaxInProgress  int     // requests accepted and not yet answered
 	MaxCustomers   int     // customers whose state is kept; 0: no limit
+	MaxIdentities  int     // ids of requests that are kept; 0: no limit
 	MaxOutstanding int     // attempts that have not ended, also those whose answer has begun; 0: no limit
 	ConnectTimeout float64
 	KeepAlive      float64 // backends close connections that are idle for this long
@@ -198,6 +199,7 @@
 	Sent          float64 // time at which the client sent it; 0 means now
 	Deadline      float64 // time at which the client stops waiting
 	ClientRetry   bool    // marked by the client as a retry
+	Identity      uint64  // hash of the id that the client gave it; 0: unknown
 	BodyPending   bool    // the body is incomplete; Sent and Deadline take effect with BodyComplete
 }
 
@@ -305,6 +307,13 @@
 	WarmSendRate       float64 `json:"WarmRate"` // attempts per second to each warm backend
 	Backends           []BackendRecord
 	Customers          []CustomerRecord
+	Identities         []IdentityRecord `json:",omitempty"` // oldest first
+}
+
+// IdentityRecord is the id of a request that may have run, as a hash, in a Snapshot.
+type IdentityRecord struct {
+	Identity   uint64
+	AcceptedAt float64 // time at which the request was accepted
 }
 
 // BackendRecord is the state of one backend in a Snapshot.
