--- a/cmd/gateway/soak_test.go
+++ b/cmd/gateway/soak_test.go
@@ -18,14 +18,8 @@
 // SOAK_FIRST is the first seed, SOAK_SEEDS the number of seeds, and SOAK_PLAYS how many run at once.
 func TestStopSoak(t *testing.T) {
 	t.Parallel()
-	number := func(name string, fallback int) int {
-		if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-			return n
-		}
-		return fallback
-	}
-	first, seeds := number("SOAK_FIRST", 1), number("SOAK_SEEDS", 16)
-	slots := make(chan struct{}, number("SOAK_PLAYS", 4))
+	first, seeds := soakNumber("SOAK_FIRST", 1), soakNumber("SOAK_SEEDS", 16)
+	slots := make(chan struct{}, soakNumber("SOAK_PLAYS", 4))
 	var runs sync.WaitGroup
 	defer runs.Wait()
 	for seed := first; seed < first+seeds; seed++ {
@@ -38,6 +32,14 @@
 	}
 }
 
+// soakNumber returns the number in an environment variable, or the fallback.
+func soakNumber(name string, fallback int) int {
+	if number, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return number
+	}
+	return fallback
+}
+
 // stopSoak is the run of one seed.
 type stopSoak struct {
 	*platform
