gateway: the time that a pipelined request waits behind others counts for its client

Change: a connection keeps the time by which the bytes it read last had arrived, also of bytes that were read ahead, and the time of a request counts from then. Not covered: bytes that wait in the socket because the process does not run.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -41,6 +41,7 @@
 	discarded  func([]byte) // called with the bytes that are discarded, in order
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
 
+	bufferedAt    time.Time    // when the last byte of buffered arrived
 	buffered      []byte       // not yet read by net/http
 	err           error        // returned after buffered
 	bufferedBytes atomic.Int64 // length of buffered, for concurrent readers
@@ -57,9 +58,15 @@
 
 // Read implements net.Conn.
 func (a *readAheadConn) Read(p []byte) (int, error) {
+	n, _, err := a.read(p)
+	return n, err
+}
+
+// read does so, and returns the time by which the bytes had arrived.
+func (a *readAheadConn) read(p []byte) (n int, arrivedAt time.Time, err error) {
 	a.stop()
 	if a.overflowed {
-		return 0, errOverflowed
+		return 0, time.Time{}, errOverflowed
 	}
 	if len(a.buffered) > 0 {
 		n := copy(p, a.buffered)
@@ -67,14 +74,14 @@
 			a.buffered = nil
 		}
 		a.bufferedBytes.Store(int64(len(a.buffered)))
-		return n, nil
+		return n, a.bufferedAt, nil
 	}
 	if a.err != nil {
-		return 0, a.err
+		return 0, time.Time{}, a.err
 	}
-	n, err := a.Conn.Read(p)
+	n, err = a.Conn.Read(p)
 	a.recordEnd(err)
-	return n, err
+	return n, time.Now(), err
 }
 
 // recordEnd records an error that ends the connection. A timeout does not.
@@ -104,6 +111,9 @@
 	for len(a.buffered) < maxReadAhead {
 		n, err := a.Conn.Read(buffer[:min(len(buffer), maxReadAhead-len(a.buffered))])
 		a.buffered = append(a.buffered, buffer[:n]...)
+		if n > 0 {
+			a.bufferedAt = time.Now()
+		}
 		a.bufferedBytes.Store(int64(len(a.buffered)))
 		if err != nil {
 			a.recordEnd(err)
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -39,6 +39,7 @@
 
 	mu          sync.Mutex
 	framing     framingScanner
+	arrivedAt   time.Time       // when the last bytes that were read had arrived
 	overflow    *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
 	headsServed int             // request headers that the server has received
 	rejected    bool            // the final response was a rejection; the server may write nothing more
@@ -48,7 +49,7 @@
 // beginning of a request. A request that begins on an evicted connection is rejected: its
 // bytes have been read, and from a close alone the client could not know that it never ran.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.readAhead.Read(p)
+	n, arrivedAt, err := c.readAhead.read(p)
 	if errors.Is(err, errOverflowed) {
 		c.rejectPipelined()
 		return 0, io.EOF
@@ -63,17 +64,21 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.skipLinger.Store(true)
 	}
-	if !c.scan(p[:n]) {
+	if !c.scan(p[:n], arrivedAt) {
 		c.rejectHeader()
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// scan scans bytes that were read. It returns false if a header has too many fields.
-func (c *clientConn) scan(data []byte) bool {
+// scan scans bytes that were read and had arrived by the given time. It returns false if a header
+// has too many fields.
+func (c *clientConn) scan(data []byte, arrivedAt time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(data) > 0 {
+		c.arrivedAt = arrivedAt
+	}
 	c.framing.scan(data)
 	return !c.framing.tooManyFields
 }
@@ -285,6 +290,17 @@
 	return c.framing.earlierBodyBytes
 }
 
+// sinceArrival returns how long ago the last bytes that were read had arrived. A pipelined request
+// may have waited for that long.
+func (c *clientConn) sinceArrival() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arrivedAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.arrivedAt)
+}
+
 // reset makes the next close reset the connection, so that the client notices a truncation.
 func (c *clientConn) reset() {
 	c.skipLinger.Store(true)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -317,7 +317,6 @@
 // read parses a request and reads its body as far as it is held in memory. On an error
 // it returns the status of the response.
 func (f *frontend) read(r *http.Request, control *http.ResponseController) (*exchange, int, error) {
-	now := f.loop.clock.now()
 	exchange := &exchange{conn: connOf(r), method: r.Method, uri: originForm(r.RequestURI), host: r.Host, responses: make(chan response, 2)}
 	exchange.service = f.service.Load()
 	request, err := exchange.service.parseRequest(r)
@@ -342,7 +341,10 @@
 		if status, err := f.readBody(exchange, r, control); err != nil {
 			return nil, status, err
 		}
-		now = f.loop.clock.now() // the client timeout counts from the last byte
+	}
+	now := f.loop.clock.now()
+	if exchange.conn != nil {
+		now -= exchange.conn.sinceArrival().Seconds()
 	}
 	exchange.request.Identity = requestIdentity(r.Header.Get(idHeader))
 	exchange.request.Sent = now
--- a/internal/gateway/upload_time_test.go
+++ b/internal/gateway/upload_time_test.go
@@ -83,3 +83,32 @@
 		t.Errorf("attempt forwards %d ms, %v; want 14900 to 15000", timeLeft, err)
 	}
 }
+
+// Guards against backends that are told of time that a pipelined request has spent behind another.
+func TestPipelinedRequestForwardsRemainingTime(t *testing.T) {
+	t.Parallel()
+	const elapsed, clientTimeout = 400 * time.Millisecond, 8 * time.Second
+	for name, text := range map[string]string{
+		"without a body": strings.Repeat(requestText("GET", "lookup", "", timeLeftHeader, "8000"), 2),
+		"with a body":    requestText("POST", "booking", "x", timeLeftHeader, "8000") + requestText("POST", "booking", "x", timeLeftHeader, "8000"),
+		"beyond net/http's buffer": requestText("GET", "lookup", "") +
+			requestText("GET", "lookup", "", timeLeftHeader, "8000", "X", strings.Repeat("x", 6<<10)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newTestServer(t)
+			gateway := newTestGateway(t, backend)
+			gateway.send(t, text)
+			conn, reader := backend.accept(t)
+			readRequest(t, reader)
+			time.Sleep(elapsed)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			_, reader = backend.accept(t)
+			second, _ := readRequest(t, reader)
+			timeLeft, err := strconv.Atoi(second.Header.Get(timeLeftHeader))
+			if limit := clientTimeout - elapsed + 50*time.Millisecond; err != nil || time.Duration(timeLeft)*time.Millisecond > limit {
+				t.Errorf("forwarded %d ms, %v; at most %v are left", timeLeft, err, limit)
+			}
+		})
+	}
+}
