gateway: the time that a request waits for memory counts for its client

Callers saw: a server was told of 4,036 ms where the client had 2,842 left, beside clients that take the memory for bodies. Cause: a body was observed from when its memory had been granted, up to 2 s after its header; by then it had long been in the socket. Change: the observation begins with the header, and the time of a held body counts from when its last byte can have been sent, as that of a streamed one.

--- a/cmd/gateway/full_speed_test.go
+++ b/cmd/gateway/full_speed_test.go
@@ -72,6 +72,11 @@
 	"invalid requests, one by one": func(conn net.Conn) {
 		sendOneByOne(conn, func() string { return "GET /unknown HTTP/1.1\r\nHost: a\r\n\r\n" })
 	},
+	"large bodies": func(conn net.Conn) {
+		sendOneByOne(conn, func() string {
+			return requestHead("POST", "keyed", time.Second) + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2000000)
+		})
+	},
 	"no requests at all": func(conn net.Conn) {
 		io.WriteString(conn, "hello\r\n\r\n")
 		io.Copy(io.Discard, conn)
--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -30,9 +30,10 @@
 // maxSendBuffer is the number of bytes that the client's system may hold for sending.
 const maxSendBuffer = 4 << 20
 
-// start begins the observation of a body of which nothing has been read.
-func (a *bodyArrival) start(conn *clientConn, length int64) {
-	a.conn, a.length, a.lastIncomplete = conn, length, time.Now()
+// start begins the observation of a body whose header was read at the given time. The body may have
+// arrived since.
+func (a *bodyArrival) start(conn *clientConn, length int64, headerReadAt time.Time) {
+	a.conn, a.length, a.lastIncomplete = conn, length, headerReadAt
 	if conn != nil {
 		a.before = conn.earlierBodyBytes()
 	}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -57,11 +57,12 @@
 	// for both, so that the loop never blocks on it.
 	responses chan response
 
-	timeout time.Duration  // the client waits this long for the response, from its last byte on
-	service *serviceConfig // configuration that the request was parsed with
-	class   *rules.Class   // class, counts and plan belong to service
-	counts  *classCounts
-	plan    string
+	timeout    time.Duration  // the client waits this long for the response, from its last byte on
+	completeAt time.Time      // when the last byte of a held body can have been sent; zero: there is none
+	service    *serviceConfig // configuration that the request was parsed with
+	class      *rules.Class   // class, counts and plan belong to service
+	counts     *classCounts
+	plan       string
 
 	// Owned by the loop:
 	queueDelay      float64 // seconds between the last byte and the loop's receipt
@@ -81,6 +82,18 @@
 	return x.conn != nil && (x.conn.peerClosed() || closedByPeerState(x.conn.Conn))
 }
 
+// sinceLastByte returns how long ago the last byte of a request that has been read can have been
+// sent.
+func (x *exchange) sinceLastByte() (elapsed time.Duration) {
+	if x.conn != nil {
+		elapsed = x.conn.sinceArrival()
+	}
+	if !x.completeAt.IsZero() {
+		elapsed = max(elapsed, time.Since(x.completeAt))
+	}
+	return elapsed
+}
+
 // discardResponses discards responses whose handler has returned.
 func (x *exchange) discardResponses(budget *budget) {
 	for {
@@ -343,9 +356,7 @@
 		}
 	}
 	now := f.loop.clock.now()
-	if exchange.conn != nil {
-		now -= exchange.conn.sinceArrival().Seconds()
-	}
+	now -= exchange.sinceLastByte().Seconds()
 	exchange.request.Identity = requestIdentity(r.Header.Get(idHeader))
 	exchange.request.Sent = now
 	exchange.request.Deadline += now - responseMargin
@@ -357,6 +368,7 @@
 // readBody reads the body of a request until it is complete or has to be streamed. On an
 // error it returns the status of the response.
 func (f *frontend) readBody(exchange *exchange, r *http.Request, control *http.ResponseController) (int, error) {
+	headerReadAt := time.Now()
 	long := r.ContentLength > maxHeldBody
 	held := int(r.ContentLength)
 	memory := held
@@ -375,7 +387,7 @@
 	} else {
 		memory = 0
 	}
-	remainder := newClientBody(r, control, exchange.service.maxBodyBytes, &f.metrics.uploads.bytes)
+	remainder := newClientBody(r, control, headerReadAt, exchange.service.maxBodyBytes, &f.metrics.uploads.bytes)
 	prefix := newBodyPrefix(remainder, r.ContentLength, held)
 	complete, err := false, error(nil)
 	switch {
@@ -394,6 +406,7 @@
 		exchange.announcedTrailers = append(exchange.announcedTrailers, name)
 	}
 	if complete {
+		exchange.completeAt = remainder.arrival.lastByteTime()
 		exchange.body, exchange.trailer, exchange.reservedMemory = prefix.held, forwardableTrailers(r.Trailer), f.metrics.bodyBudget.shrink(memory, len(prefix.held))
 		return 0, nil
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -176,13 +176,14 @@
 	total        *atomic.Int64 // metric: bytes of all bodies
 }
 
-// newClientBody returns a reader of the body of r. It adds the bytes it reads to total.
-func newClientBody(r *http.Request, control *http.ResponseController, maxLength int64, total *atomic.Int64) *clientBody {
+// newClientBody returns a reader of the body of r, whose header was read at the given time. It adds
+// the bytes it reads to total.
+func newClientBody(r *http.Request, control *http.ResponseController, headerReadAt time.Time, maxLength int64, total *atomic.Int64) *clientBody {
 	body := &clientBody{body: r.Body, length: r.ContentLength, maxLength: maxLength, control: control, total: total,
 		// The time that the header took counts too.
 		pace: pace{maxPause: readTimeout, grace: readTimeout, minRate: minClientRate, waited: time.Since(requestStart(r))}}
 	body.conn = connOf(r)
-	body.arrival.start(body.conn, r.ContentLength)
+	body.arrival.start(body.conn, r.ContentLength, headerReadAt)
 	if body.conn != nil {
 		body.earlierBytes = body.conn.earlierBodyBytes()
 	}
--- a/internal/gateway/upload_time_test.go
+++ b/internal/gateway/upload_time_test.go
@@ -112,3 +112,26 @@
 		})
 	}
 }
+
+// Guards against backends that are told of time that a request has waited for memory for its body.
+func TestRequestThatWaitedForMemoryForwardsRemainingTime(t *testing.T) {
+	t.Parallel()
+	const elapsed, clientTimeout = 400 * time.Millisecond, 8 * time.Second
+	for name, length := range map[string]int{"held": 32 << 10, "streamed": 2 * maxHeldBody} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newTestServer(t)
+			gateway := newTestGateway(t, backend)
+			gateway.metrics.bodyBudget.setTotal(0)
+			gateway.send(t, requestText("POST", "booking", strings.Repeat("x", length), timeLeftHeader, "8000"))
+			time.Sleep(elapsed)
+			gateway.metrics.bodyBudget.setTotal(16 << 20)
+			_, reader := backend.accept(t)
+			request, _ := readRequest(t, reader)
+			timeLeft, err := strconv.Atoi(request.Header.Get(timeLeftHeader))
+			if limit := clientTimeout - elapsed + 50*time.Millisecond; err != nil || time.Duration(timeLeft)*time.Millisecond > limit {
+				t.Errorf("forwarded %d ms, %v; at most %v are left", timeLeft, err, limit)
+			}
+		})
+	}
+}
