--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -83,6 +84,16 @@
 	return !c.framing.tooManyFields
 }
 
+// giveUp records why the gateway closes the connection, and logs it, at most once a second.
+func (c *clientConn) giveUp(cause int) {
+	c.listener.mu.Lock()
+	c.closeCause = cause
+	c.listener.mu.Unlock()
+	if c.listener.logLimit.allow() {
+		slog.Warn("connection of a client given up", "cause", closeCauseNames[cause], "client", c.RemoteAddr())
+	}
+}
+
 // scanDiscarded scans pipelined bytes that the read-ahead discards.
 func (c *clientConn) scanDiscarded(data []byte) {
 	c.mu.Lock()
@@ -98,9 +109,7 @@
 // rejectPipelined rejects all pipelined requests whose header has arrived, after the response to
 // the request before them. The client cannot know which of them were read.
 func (c *clientConn) rejectPipelined() {
-	c.listener.mu.Lock()
-	c.closeCause = closedPipelined
-	c.listener.mu.Unlock()
+	c.giveUp(closedPipelined)
 	c.mu.Lock()
 	pending := c.overflow.heads - c.headsServed
 	c.mu.Unlock()
@@ -117,9 +126,7 @@
 
 // rejectHeader rejects a request whose header or trailer has too many fields.
 func (c *clientConn) rejectHeader() {
-	c.listener.mu.Lock()
-	c.closeCause = closedHeaderFields
-	c.listener.mu.Unlock()
+	c.giveUp(closedHeaderFields)
 	c.rejectRequest(headerFieldsResponse)
 }
 
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -21,7 +21,6 @@
 const (
 	minRetryDelay        = 5 * time.Millisecond  // before a failed call is retried
 	maxRetryDelay        = time.Second           // the delay doubles up to this
-	overloadLogInterval  = time.Second           // between log lines of one kind
 	rejectConnTimeout    = 20 * time.Millisecond // for writing the rejection of a new connection
 	rejectRequestTimeout = 200 * time.Millisecond
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,7 +192,9 @@
 	if l.siblingRunning {
 		processes = 2
 	}
-	l.apply(l.config.resourcePlan(processes))
+	plan := l.config.resourcePlan(processes)
+	slog.Info("resources", "processes", processes, "plan", fmt.Sprintf("%+v", plan))
+	l.apply(plan)
 }
 
 // seconds converts seconds to a time.Duration.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -282,6 +282,8 @@
 	if l.service.MaxInProgress > 0 && len(l.live) >= l.service.MaxInProgress || len(l.live) >= l.plan.requests {
 		exchange.counts.dropped.Add(1)
 		l.metrics.overloaded.Add(1)
+		exchange.rejectReason = "overloaded"
+		l.trace(exchange, "not served")
 		exchange.responses <- response{status: http.StatusServiceUnavailable} // nothing has been sent to a backend
 		return
 	}
