gateway: pipelined requests and long headers take memory from the body budget

Cause: the read-ahead of each connection kept up to 16 KiB, its growth as much, and a buffer of 16 KiB to discard what comes behind; a header took up to 40 KB. Both were in no plan: 344 connections at 32 MB could take 20 MB with them. Change: over 4 KiB of pipelined requests, and a header of over 4 KiB, need a reservation; without it the requests behind are rejected, the header gets 503 (app.clients.closed.no_memory). Discarding uses the buffer of 1 KiB there is.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -38,6 +38,9 @@
 	running  chan struct{} // closed when the read-ahead goroutine has ended; nil if there is none
 	stopped  bool          // nothing more is read from the connection
 
+	budget     *budget      // for more than uncountedBytes; nil: no limit
+	reserved   bool         // maxReadAhead bytes are reserved from budget
+	closed     bool         // nothing may be reserved any more
 	discarded  func([]byte) // called with the bytes that are discarded, in order
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
 
@@ -66,12 +69,13 @@
 func (a *readAheadConn) read(p []byte) (n int, arrivedAt time.Time, err error) {
 	a.stop()
 	if a.overflowed {
+		a.release(false)
 		return 0, time.Time{}, errOverflowed
 	}
 	if len(a.buffered) > 0 {
 		n := copy(p, a.buffered)
 		if a.buffered = a.buffered[n:]; len(a.buffered) == 0 {
-			a.buffered = nil
+			a.release(false)
 		}
 		a.bufferedBytes.Store(int64(len(a.buffered)))
 		return n, a.bufferedAt, nil
@@ -108,8 +112,15 @@
 func (a *readAheadConn) run(done chan struct{}) {
 	defer close(done)
 	var buffer [1 << 10]byte
-	for len(a.buffered) < maxReadAhead {
-		n, err := a.Conn.Read(buffer[:min(len(buffer), maxReadAhead-len(a.buffered))])
+	for limit := uncountedBytes; ; {
+		if len(a.buffered) >= limit {
+			if limit == maxReadAhead || !a.reserve() {
+				break
+			}
+			limit = maxReadAhead
+			a.buffered = append(make([]byte, 0, maxReadAhead), a.buffered...)
+		}
+		n, err := a.Conn.Read(buffer[:min(len(buffer), limit-len(a.buffered))])
 		a.buffered = append(a.buffered, buffer[:n]...)
 		if n > 0 {
 			a.bufferedAt = time.Now()
@@ -120,15 +131,38 @@
 			return
 		}
 	}
-	a.discard()
+	a.discard(buffer[:])
+}
+
+// reserve reserves memory for maxReadAhead bytes. It returns false if there is none.
+func (a *readAheadConn) reserve() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.budget != nil && !a.reserved {
+		a.reserved = !a.closed && a.budget.tryReserve(maxReadAhead)
+		return a.reserved
+	}
+	return true
+}
+
+// release frees the buffer, which nobody needs any more. With closed, none is reserved again.
+func (a *readAheadConn) release(closed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = a.closed || closed
+	if !closed {
+		a.buffered = nil
+	}
+	if a.reserved {
+		a.budget.release(maxReadAhead)
+		a.reserved = false
+	}
 }
 
 // discard reads and discards until the end of the connection or stop.
-func (a *readAheadConn) discard() {
-	buffer := minWindowPool.Get().(*[minWindow]byte)
-	defer minWindowPool.Put(buffer)
+func (a *readAheadConn) discard(buffer []byte) {
 	for total := 0; ; {
-		n, err := a.Conn.Read(buffer[:])
+		n, err := a.Conn.Read(buffer)
 		if n > 0 {
 			a.overflowed = true
 			a.discarded(buffer[:n])
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -14,6 +14,9 @@
 	"dunlintray/internal/connlimit"
 )
 
+// longHeaderBytes is the memory that a header of more than uncountedBytes takes at most.
+const longHeaderBytes = 48 << 10
+
 // pipelinedBatch is the number of pipelined requests that are rejected with one write.
 const pipelinedBatch = 100
 
@@ -38,12 +41,14 @@
 	unread          unreadProbe
 	localAnswers    localAnswers // owned by the handler of the current request
 
-	mu          sync.Mutex
-	framing     framingScanner
-	arrivedAt   time.Time       // when the last bytes that were read had arrived
-	overflow    *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
-	headsServed int             // request headers that the server has received
-	rejected    bool            // the final response was a rejection; the server may write nothing more
+	mu             sync.Mutex
+	framing        framingScanner
+	arrivedAt      time.Time       // when the last bytes that were read had arrived
+	overflow       *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
+	headsServed    int             // request headers that the server has received
+	headerReserved bool            // longHeaderBytes are reserved from the budget
+	closed         bool            // nothing may be reserved any more
+	rejected       bool            // the final response was a rejection; the server may write nothing more
 }
 
 // Read implements net.Conn. It checks request headers for ambiguous framing and records the
@@ -69,9 +74,38 @@
 		c.rejectHeader()
 		return 0, io.EOF
 	}
+	if !c.reserveHeader() {
+		c.giveUp(closedNoMemory)
+		c.rejectRequest(unavailableResponse)
+		return 0, io.EOF
+	}
 	return n, err
 }
 
+// reserveHeader reserves memory for a header that has become long, until the connection is idle. It
+// returns false if there is none.
+func (c *clientConn) reserveHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.listener.budget == nil || c.headerReserved || c.framing.headerBytes <= uncountedBytes {
+		return true
+	}
+	c.headerReserved = !c.closed && c.listener.budget.tryReserve(longHeaderBytes)
+	return c.headerReserved
+}
+
+// releaseHeader returns the memory that reserveHeader has reserved. With closed, none is reserved
+// again.
+func (c *clientConn) releaseHeader(closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || closed
+	if c.headerReserved {
+		c.listener.budget.release(longHeaderBytes)
+		c.headerReserved = false
+	}
+}
+
 // scan scans bytes that were read and had arrived by the given time. It returns false if a header
 // has too many fields.
 func (c *clientConn) scan(data []byte, arrivedAt time.Time) bool {
@@ -216,6 +250,9 @@
 		c.headsServed++
 		c.mu.Unlock()
 	}
+	if state == connlimit.Idle {
+		c.releaseHeader(false)
+	}
 	if c.enterState(state) {
 		c.Close()
 	}
@@ -405,6 +442,8 @@
 func (c *clientConn) closeNow() error {
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
+		c.readAhead.release(true)
+		c.releaseHeader(true)
 		listener := c.listener
 		listener.mu.Lock()
 		defer listener.mu.Unlock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -60,10 +60,11 @@
 	closedRejected            // not admitted
 	closedHeaderFields        // a header has too many fields
 	closedPipelined           // too many bytes of pipelined requests
+	closedNoMemory            // no memory for a long header
 	closeCauseCount
 )
 
-var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away", "header_fields", "pipelined"}
+var closeCauseNames = [closeCauseCount]string{"peer", "idle_given_up", "new_given_up", "stop", "turned_away", "header_fields", "pipelined", "no_memory"}
 
 // clientListener accepts client connections and owns them until they are closed. Its table
 // decides which connection is evicted to make room for another.
@@ -78,7 +79,8 @@
 	closed        bool
 	drainingQueue bool // connections in the accept queue are still accepted, later ones are not
 	phase         shutdownPhase
-	sharedQueue   bool // other processes accept from the same queue
+	budget        *budget // for pipelined requests and long headers; nil: no limit
+	sharedQueue   bool    // other processes accept from the same queue
 
 	rejectedLingering int // rejected connections that wait for the client to close
 	logLimit          logLimiter
@@ -372,6 +374,7 @@
 	}
 	conn := &clientConn{Conn: accepted, listener: l}
 	conn.readAhead = newReadAheadConn(accepted, conn.scanDiscarded)
+	conn.readAhead.budget = l.budget
 	conn.idle.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -27,6 +27,7 @@
 	line              [40]byte // start of the current line
 	lineBytes         int      // length of the current line so far
 	lastTwo           [2]byte  // last two bytes scanned
+	headerBytes       int      // of the current header, line ends left out
 	fields            int      // lines of the current header or trailer, folded ones included
 	contentLengths    int      // Content-Length lines in the current header
 	transferEncodings int      // Transfer-Encoding lines in the current header
@@ -87,6 +88,9 @@
 
 // appendLine adds bytes to the current line, of which only the start is kept.
 func (f *framingScanner) appendLine(data []byte) {
+	if f.state == frameStartLine || f.state == frameHeaders {
+		f.headerBytes += len(data)
+	}
 	if f.lineBytes < len(f.line) {
 		copy(f.line[f.lineBytes:], data)
 	}
@@ -123,7 +127,7 @@
 			f.scanHeader(line)
 			break
 		}
-		f.earlierBodyBytes = f.bodyBytes
+		f.earlierBodyBytes, f.headerBytes = f.bodyBytes, 0
 		f.heads++
 		f.ambiguous = f.ambiguous || f.contentLengths > 1 || f.transferEncodings > 0 && (f.contentLengths > 0 || f.http10)
 		switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 		counter = newCounter(config.Counter, seconds(config.CounterTimeout))
 	}
 	front := &frontend{metrics: metrics, clients: newClientListener(listener, 1), pacer: newAnswerPacer(config.Cores)}
+	front.clients.budget = &metrics.bodyBudget
 	front.clients.sharedQueue = config.Inherited != "" || config.HandoverDir != ""
 	metrics.clients = front.clients
 	front.applyService(metrics.newService(config.Deployment, config.maxBodyBytes()))
