Tests: relays between registries listen on a port of the system's choice

Change: testnet.AnyPort, a random host with port 0, so that nothing lies between the choice and the listener. The port of a relay that listens again can still be taken, by what is not known.

--- a/cmd/registry/members_test.go
+++ b/cmd/registry/members_test.go
@@ -44,7 +44,7 @@
 			if peers[fmt.Sprint(to+1)] = members.addresses[to]; to == from {
 				continue
 			}
-			relay, err := link.NewRelay(testnet.TCP(t), members.addresses[to], link.Limits{MaxConnections: 32, BufferBytes: 64 << 10}, uint64(from*count+to))
+			relay, err := link.NewRelay(testnet.AnyPort(), members.addresses[to], link.Limits{MaxConnections: 32, BufferBytes: 64 << 10}, uint64(from*count+to))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/cmd/registry/scoped_test.go
+++ b/cmd/registry/scoped_test.go
@@ -122,7 +122,7 @@
 
 func (f *scopedFleet) relay(target string) *link.Relay {
 	f.t.Helper()
-	r, err := link.NewRelay(testnet.TCP(f.t), target, link.Limits{MaxConnections: 32, BufferBytes: 64 << 10}, 1)
+	r, err := link.NewRelay(testnet.AnyPort(), target, link.Limits{MaxConnections: 32, BufferBytes: 64 << 10}, 1)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -32,6 +32,10 @@
 	return listener.Addr().String()
 }
 
+// AnyPort returns an address with a random host as that of Listener, for a test that listens on a
+// port of the system's choice.
+func AnyPort() string { return host() + ":0" }
+
 // UDP returns an address at which no socket receives datagrams. It fails the test if there is none.
 func UDP(t testing.TB) string {
 	t.Helper()
