gateway: one reservation type for long headers and pipelined requests

Change: budget.go, reservation: acquire, release, close. Behaviour is the same. Measured: go test -race ./internal/gateway passed (42 s).

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -38,9 +38,7 @@
 	running  chan struct{} // closed when the read-ahead goroutine has ended; nil if there is none
 	stopped  bool          // nothing more is read from the connection
 
-	budget     *budget      // for more than uncountedBytes; nil: no limit
-	reserved   bool         // maxReadAhead bytes are reserved from budget
-	closed     bool         // nothing may be reserved any more
+	memory     *reservation // of maxReadAhead bytes, for more than uncountedBytes
 	discarded  func([]byte) // called with the bytes that are discarded, in order
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
 
@@ -54,9 +52,10 @@
 var errOverflowed = errors.New("too many bytes of pipelined requests")
 
 // newReadAheadConn wraps a connection. It calls discarded with the bytes that it discards; the
-// connection cannot be read any more then.
-func newReadAheadConn(conn net.Conn, discarded func([]byte)) *readAheadConn {
-	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), discarded: discarded}
+// connection cannot be read any more then. A nil budget sets no limit.
+func newReadAheadConn(conn net.Conn, budget *budget, discarded func([]byte)) *readAheadConn {
+	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), discarded: discarded,
+		memory: &reservation{budget: budget, bytes: maxReadAhead}}
 }
 
 // Read implements net.Conn.
@@ -69,13 +68,13 @@
 func (a *readAheadConn) read(p []byte) (n int, arrivedAt time.Time, err error) {
 	a.stop()
 	if a.overflowed {
-		a.release(false)
+		a.dropBuffer()
 		return 0, time.Time{}, errOverflowed
 	}
 	if len(a.buffered) > 0 {
 		n := copy(p, a.buffered)
 		if a.buffered = a.buffered[n:]; len(a.buffered) == 0 {
-			a.release(false)
+			a.dropBuffer()
 		}
 		a.bufferedBytes.Store(int64(len(a.buffered)))
 		return n, a.bufferedAt, nil
@@ -114,7 +113,7 @@
 	var buffer [1 << 10]byte
 	for limit := uncountedBytes; ; {
 		if len(a.buffered) >= limit {
-			if limit == maxReadAhead || !a.reserve() {
+			if limit == maxReadAhead || !a.memory.acquire() {
 				break
 			}
 			limit = maxReadAhead
@@ -134,29 +133,10 @@
 	a.discard(buffer[:])
 }
 
-// reserve reserves memory for maxReadAhead bytes. It returns false if there is none.
-func (a *readAheadConn) reserve() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.budget != nil && !a.reserved {
-		a.reserved = !a.closed && a.budget.tryReserve(maxReadAhead)
-		return a.reserved
-	}
-	return true
-}
-
-// release frees the buffer, which nobody needs any more. With closed, none is reserved again.
-func (a *readAheadConn) release(closed bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closed = a.closed || closed
-	if !closed {
-		a.buffered = nil
-	}
-	if a.reserved {
-		a.budget.release(maxReadAhead)
-		a.reserved = false
-	}
+// dropBuffer frees the buffer, whose bytes nobody needs any more.
+func (a *readAheadConn) dropBuffer() {
+	a.buffered = nil
+	a.memory.release()
 }
 
 // discard reads and discards until the end of the connection or stop.
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -165,6 +165,46 @@
 	}
 }
 
+// reservation is a fixed number of bytes of a budget that its owner holds at most once. It is safe
+// for concurrent use. Without a budget it is always granted.
+type reservation struct {
+	budget *budget
+	bytes  int
+
+	mu     sync.Mutex
+	held   bool
+	closed bool // nothing is reserved any more
+}
+
+// acquire reserves the bytes, unless they are held already. It returns false if there is no memory.
+func (r *reservation) acquire() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.budget == nil || r.held {
+		return true
+	}
+	r.held = !r.closed && r.budget.tryReserve(r.bytes)
+	return r.held
+}
+
+// release returns the bytes, if they are held.
+func (r *reservation) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held {
+		r.budget.release(r.bytes)
+		r.held = false
+	}
+}
+
+// close returns the bytes, and lets nothing be reserved later.
+func (r *reservation) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.release()
+}
+
 // window is the buffer through which the remainder of a body passes. One goroutine owns it.
 // Between pieces it may be empty.
 type window struct {
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -39,16 +39,15 @@
 	closeDelimited  atomic.Bool // the end of the connection ends the response (HTTP/1.0)
 	closeOnce       sync.Once
 	unread          unreadProbe
+	longHeader      *reservation // of longHeaderBytes
 	localAnswers    localAnswers // owned by the handler of the current request
 
-	mu             sync.Mutex
-	framing        framingScanner
-	arrivedAt      time.Time       // when the last bytes that were read had arrived
-	overflow       *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
-	headsServed    int             // request headers that the server has received
-	headerReserved bool            // longHeaderBytes are reserved from the budget
-	closed         bool            // nothing may be reserved any more
-	rejected       bool            // the final response was a rejection; the server may write nothing more
+	mu          sync.Mutex
+	framing     framingScanner
+	arrivedAt   time.Time       // when the last bytes that were read had arrived
+	overflow    *framingScanner // scans the bytes that the read-ahead discards, after those that it has buffered
+	headsServed int             // request headers that the server has received
+	rejected    bool            // the final response was a rejection; the server may write nothing more
 }
 
 // Read implements net.Conn. It checks request headers for ambiguous framing and records the
@@ -86,24 +85,9 @@
 // returns false if there is none.
 func (c *clientConn) reserveHeader() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.listener.budget == nil || c.headerReserved || c.framing.headerBytes <= uncountedBytes {
-		return true
-	}
-	c.headerReserved = !c.closed && c.listener.budget.tryReserve(longHeaderBytes)
-	return c.headerReserved
-}
-
-// releaseHeader returns the memory that reserveHeader has reserved. With closed, none is reserved
-// again.
-func (c *clientConn) releaseHeader(closed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = c.closed || closed
-	if c.headerReserved {
-		c.listener.budget.release(longHeaderBytes)
-		c.headerReserved = false
-	}
+	long := c.framing.headerBytes > uncountedBytes
+	c.mu.Unlock()
+	return !long || c.longHeader.acquire()
 }
 
 // scan scans bytes that were read and had arrived by the given time. It returns false if a header
@@ -251,7 +235,7 @@
 		c.mu.Unlock()
 	}
 	if state == connlimit.Idle {
-		c.releaseHeader(false)
+		c.longHeader.release()
 	}
 	if c.enterState(state) {
 		c.Close()
@@ -442,8 +426,8 @@
 func (c *clientConn) closeNow() error {
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
-		c.readAhead.release(true)
-		c.releaseHeader(true)
+		c.readAhead.memory.close()
+		c.longHeader.close()
 		listener := c.listener
 		listener.mu.Lock()
 		defer listener.mu.Unlock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -372,9 +372,8 @@
 	if tcp, ok := accepted.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	conn := &clientConn{Conn: accepted, listener: l}
-	conn.readAhead = newReadAheadConn(accepted, conn.scanDiscarded)
-	conn.readAhead.budget = l.budget
+	conn := &clientConn{Conn: accepted, listener: l, longHeader: &reservation{budget: l.budget, bytes: longHeaderBytes}}
+	conn.readAhead = newReadAheadConn(accepted, l.budget, conn.scanDiscarded)
 	conn.idle.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
