--- a/review/stand2/lab.go
+++ b/review/stand2/lab.go
@@ -199,13 +199,16 @@
 }
 
 // startProcess starts a process of the gateway with the command of the deploy file.
-func (g *gateway) startProcess() (*process, error) {
+func (g *gateway) startProcess() (*process, error) { return g.startProcessAt(freeAddress()) }
+
+// startProcessAt starts a process with the given address for operators.
+func (g *gateway) startProcessAt(control string) (*process, error) {
 	run, err := g.lab.deployCommand("run")
 	if err != nil {
 		return nil, err
 	}
 	g.starts++
-	g.control = freeAddress()
+	g.control = control
 	name := fmt.Sprintf("%s-%d", g.name, g.starts)
 	p := &process{command: exec.Command("/bin/sh", "-c", run), name: name, ended: make(chan struct{})}
 	if p.log, err = os.Create(filepath.Join(g.lab.dir, name+".log")); err != nil {
