Review: case 6 lets other servers hang in turn

A quarter of the servers hang at a time, as before, and each 6 s the next two, so that a run does not rest on one or two second copies.

--- a/review/stand2/second_copy.go
+++ b/review/stand2/second_copy.go
@@ -18,7 +18,8 @@
 		bodiesFrom = 6.0 // before, the gateway learns how long answers take
 		hangFrom   = 9.0
 		until      = 28.0
-		hanging    = 2 // of 8 servers
+		hanging    = 2   // of 8 servers at a time
+		hangFor    = 6.0 // seconds; then the next two hang
 	)
 	servers, err := startServers(8, 0)
 	if err != nil {
@@ -40,7 +41,7 @@
 			if !same {
 				l.breach("%s ran request %s with a body of %d bytes that nobody sent; its client sent %d", s.id, id, len(body), len(want))
 			}
-			if slices.Index(servers, s) < hanging && l.trouble && l.at(time.Now()) > hangFrom {
+			if at := l.at(time.Now()); l.trouble && at > hangFrom && slices.Index(servers, s)/hanging == int((at-hangFrom)/hangFor) {
 				l.note("%s hangs with %s", s.id, id)
 				select { // hangs in the middle of its work
 				case <-r.Context().Done():
