rules: two processes of a gateway share its retry budget

Cause: the budget bounds the retries of a gateway, so that they cannot amplify an overload. The state for a successor process left it out, so each process of an upgrade had a whole one: 20 retries at once where a gateway may make 10.

Change: the budget is divided by the export like the other local allowances, and each process may fill its own up to its part.

A state of an earlier version has no budget: its reader earns retries from its first requests on.

--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -10,7 +10,7 @@
 	overdueDeviations = 4.0 // mean deviations above the mean latency after which an attempt is overdue
 
 	retryFraction  = 0.15 // retries per first attempt, so that retries cannot amplify an overload
-	maxRetryBudget = 10.0
+	maxRetryBudget = 10.0 // of a gateway
 )
 
 // resendAllowed reports whether an attempt at the backend respects the effect of the class: if the request
@@ -40,7 +40,7 @@
 		return false
 	}
 	if attemptCount == 0 {
-		g.retryBudget = min(g.retryBudget+retryFraction, maxRetryBudget)
+		g.retryBudget = min(g.retryBudget+retryFraction, maxRetryBudget*g.processFraction)
 	} else {
 		request.customer.active++
 	}
--- a/rules/operator_test.go
+++ b/rules/operator_test.go
@@ -277,14 +277,14 @@
 
 // Processes of two versions exchange snapshots during a hand-over, so the encoded names must not change.
 func TestSnapshotKeepsItsEncodedNames(t *testing.T) {
-	snapshot := Snapshot{ConcurrencyLimit: 1, Latency: 2, Spread: 3, Pressure: 4, CounterFailureRate: 5, WarmSendRate: 6,
+	snapshot := Snapshot{ConcurrencyLimit: 1, Latency: 2, Spread: 3, Pressure: 4, CounterFailureRate: 5, WarmSendRate: 6, RetryBudget: 7,
 		Backends: []BackendRecord{{Backend: Backend{ID: 1, Zone: 2, Kind: 3, Cell: 4, State: Ready, Weight: 6, StartedAt: 7},
 			Offline: true, FailureRate: 8, Latency: 9, LastServed: 10, TrialAt: 11, TrialInterval: 12, ColdBudget: 13,
 			ColdBudgetAt: 14, ColdSince: 15}},
 		Customers: []CustomerRecord{{ID: 1, Plan: 2, Gateways: 3, Index: 4, Demand: 5, LastSeen: 6, Units: 7, Expires: 8,
 			LeaseWindow: 9, Window: 10, KnownTotal: 11, TotalReceived: true, ExhaustedUntil: 12, Backoff: 13,
 			BackoffUntil: 14, LocalUnits: 15, LocalUnitsAt: 16}}}
-	const want = `{"Bound":1,"Latency":2,"Spread":3,"Pressure":4,"Crowd":5,"WarmRate":6` +
+	const want = `{"Bound":1,"Latency":2,"Spread":3,"Pressure":4,"Crowd":5,"WarmRate":6,"RetryBudget":7` +
 		`,"Backends":[{"ID":1,"Zone":2,"Kind":3,"Cell":4,"State":1,"Weight":6,"Born":7` +
 		`,"Banned":true,"Fail":8,"Latency":9,"LastOK":10,"TrialAt":11,"TrialGap":12,"Budget":13,"BudgetedAt":14,"WarmsFrom":15}]` +
 		`,"Customers":[{"ID":1,"Plan":2,"Gateways":3,"Index":4,"Demand":5,"Seen":6,"Units":7,"Expires":8` +
--- a/rules/transfer.go
+++ b/rules/transfer.go
@@ -43,6 +43,8 @@
 				BackoffUntil: quota.backoffUntil, LocalUnits: quota.localUnits, LocalUnitsAt: quota.localUnitsAt})
 	}
 	snapshot.Identities = g.identities.records()
+	g.retryBudget /= 2
+	snapshot.RetryBudget = g.retryBudget
 	g.setProcessFraction(handOverFraction)
 	g.emit(Exported{Snapshot: snapshot})
 }
@@ -95,6 +97,7 @@
 	for _, record := range snapshot.Identities {
 		g.identities.add(record.Identity, record.AcceptedAt, g.settings.MaxIdentities)
 	}
+	g.retryBudget = snapshot.RetryBudget
 	g.setProcessFraction(handOverFraction)
 }
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -305,6 +305,7 @@
 	Pressure           float64 // mean of latency divided by aim
 	CounterFailureRate float64 `json:"Crowd"`
 	WarmSendRate       float64 `json:"WarmRate"` // attempts per second to each warm backend
+	RetryBudget        float64 // retries that the reader may make
 	Backends           []BackendRecord
 	Customers          []CustomerRecord
 	Identities         []IdentityRecord `json:",omitempty"` // oldest first
