gateway: two processes of an upgrade share the limit of the heap

Cause: the command set the limit of the heap once, at its start, from the whole of memory_mb. While a second process ran, only the plan of what clients may make a gateway hold was halved. The old process kept the heap that it had grown, and the new one grew its own towards the same limit. A reload that changed memory_mb did not reach the limit either.

Change: the limit of the heap is part of the plan and follows the number of processes and reloads. Pages of the program's file count once for both processes, all else for each. The old process returns unused memory to the system before its successor gets the state, without a lock that requests wait for. The connection between the processes ends with the process, not before it, so the other one takes over the whole only then.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -57,7 +57,7 @@
 		config.HandoverDir = os.Getenv("TMPDIR")
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(config.Cores)))
-	debug.SetMemoryLimit(gateway.HeapLimit(config.MemoryMB))
+	config.LimitHeap = limitHeap
 	debug.SetGCPercent(gcPercent)
 	log.SetPrefix(config.Name + " ")
 	options.Log(os.Stderr, "gateway", config.Name)
@@ -72,6 +72,14 @@
 	return gateway.Run(ctx, &config, reloads)
 }
 
+// limitHeap sets the limit of the heap in bytes. If it is lower than before, memory that is not in use
+// returns to the system at once: another process of the gateway is about to take it.
+func limitHeap(bytes int64) {
+	if previous := debug.SetMemoryLimit(bytes); bytes < previous {
+		debug.FreeOSMemory()
+	}
+}
+
 // reload reads the configuration file at each hangup and sends the result to reloads, until ctx ends.
 func reload(ctx context.Context, path string, hangups <-chan os.Signal, reloads chan<- gateway.Reload) {
 	for {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -40,6 +40,10 @@
 	Inherited   string // descriptor of the clients' socket
 	HandoverDir string // directory of the hand-over socket
 
+	// LimitHeap sets the limit of the process's heap in bytes, and returns unused memory above it
+	// to the system. It is nil where several gateways share a process.
+	LimitHeap func(bytes int64)
+
 	wire.Deployment // the key "settings" of the file
 
 	document any                   // the file as decoded JSON, for checkReload
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,17 +52,17 @@
 
 	runCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	defer front.loop.attempts.Wait() // after the loop, which starts attempts, and the sweep, which ends them
-	defer wg.Wait()
-	defer stop()
-	limits := &resourceLimits{config: config, apply: func(plan resourcePlan) {
+	limits := newResourceLimits(config, func(plan resourcePlan) {
 		front.clients.setLimit(plan.clientConns)
 		pools.setMaxOpen(plan.backendConns)
 		metrics.bodyBudget.setTotal(plan.bodies)
 		front.loop.post(planChanged{plan})
-	}}
-	limits.setSiblingRunning(false)
+	})
 	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning}
+	defer handover.close()           // last: until then this process counts against the limits of the gateway
+	defer front.loop.attempts.Wait() // after the loop, which starts attempts, and the sweep, which ends them
+	defer wg.Wait()
+	defer stop()
 	front.loop.receiveListing(listUpdate{listing: config.Scopes.filterListing(config.Known), kind: rules.CachedList})
 	if config.HandoverDir != "" {
 		front.claim = handover.claim
@@ -80,7 +80,6 @@
 				slog.Error("no later process can take over", "error", err)
 			}
 		})
-		defer handover.close()
 	}
 	wg.Go(func() { front.loop.run(runCtx) })
 	wg.Go(func() { pools.sweep(runCtx) })
@@ -161,42 +160,5 @@
 	return shutdown(front, server, handover)
 }
 
-// resourceLimits divides the descriptors and the memory that the configuration allows. While
-// two processes of a gateway run, each gets half.
-type resourceLimits struct {
-	apply func(resourcePlan)
-
-	mu             sync.Mutex
-	config         *Config
-	siblingRunning bool
-}
-
-// setSiblingRunning sets whether a sibling process runs.
-func (l *resourceLimits) setSiblingRunning(running bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.siblingRunning = running
-	l.divide()
-}
-
-// setConfig sets the configuration that the limits come from.
-func (l *resourceLimits) setConfig(config *Config) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.config = config
-	l.divide()
-}
-
-// divide applies the limits of this process. The caller holds mu.
-func (l *resourceLimits) divide() {
-	processes := 1
-	if l.siblingRunning {
-		processes = 2
-	}
-	plan := l.config.resourcePlan(processes)
-	slog.Info("resources", "processes", processes, "plan", fmt.Sprintf("%+v", plan))
-	l.apply(plan)
-}
-
 // seconds converts seconds to a time.Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -321,6 +321,22 @@
 	}
 }
 
+var errUnavailableForSuccessor = errors.New("this process has a sibling process already, or is stopping")
+
+// shareResources gives up the part of the gateway's resources that belongs to a successor process, before
+// that process learns anything. It holds no lock while memory returns to the system, since requests may
+// wait for it.
+func (h *handover) shareResources() error {
+	h.mu.Lock()
+	available := h.sibling == nil && !h.closed
+	h.mu.Unlock()
+	if !available {
+		return errUnavailableForSuccessor
+	}
+	h.setSiblingRunning(true)
+	return nil
+}
+
 // sendState exports the state to a successor process that requests it.
 func (h *handover) sendState(conn net.Conn) error {
 	sibling := newSiblingConn(conn)
@@ -334,12 +350,15 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	sibling.claims = request.Claims
+	if err := h.shareResources(); err != nil {
+		return err
+	}
 	// Danger: an operator override must reach both processes. From setSibling on, each is applied
 	// here and sent to the successor; the lock keeps it behind the state.
 	sibling.mu.Lock()
 	defer sibling.mu.Unlock()
 	if !h.setSibling(sibling, true) {
-		return errors.New("this process has a sibling process already, or is stopping")
+		return errUnavailableForSuccessor
 	}
 	exported := make(chan snapshot, 1)
 	if !h.loop.post(snapshotRequest{exported}) {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -37,18 +37,50 @@
 	old = newTestGatewayOn(t, listener, dir, backend)
 	kept, responses := old.request(t, requestText("GET", "lookup", "", idHeader, ""))
 	wait(t, responses, "response") // an error response, which leaves the connection open
+	awaitHandoverSocket(t, dir)
 	return old, newTestGatewayOn(t, listener, dir, backend), kept
 }
 
+// awaitHandoverSocket waits until a process serves its successors in dir. A process is ready before that.
+func awaitHandoverSocket(t *testing.T, dir string) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if info, err := os.Stat(filepath.Join(dir, handoverSocketName)); err == nil && info.Mode()&os.ModeSocket != 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no hand-over socket within %v", testTimeout)
+		}
+	}
+}
+
+// dialHandover connects to the process that serves its successors in dir.
+func dialHandover(t *testing.T, dir string) *siblingConn {
+	t.Helper()
+	awaitHandoverSocket(t, dir)
+	conn, err := net.Dial("unix", filepath.Join(dir, handoverSocketName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return newSiblingConn(conn)
+}
+
 // newTestGatewayOn starts one process of a gateway on a shared listening socket.
 func newTestGatewayOn(t *testing.T, shared net.Listener, dir string, backends ...*testServer) *testGateway {
+	t.Helper()
+	return newTestGatewayWithHeap(t, shared, dir, nil, backends...)
+}
+
+// newTestGatewayWithHeap starts one process of a gateway whose heap limit is set by a function; nil: none.
+func newTestGatewayWithHeap(t *testing.T, shared net.Listener, dir string, limitHeap func(int64), backends ...*testServer) *testGateway {
 	t.Helper()
 	gateway := &testGateway{discovery: newFakeDiscovery(t), ended: make(chan error, 1)}
 	config, err := parseConfig([]byte(configText(gateway.discovery.address(), testSettings)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	config.HandoverDir = dir
+	config.HandoverDir, config.LimitHeap = dir, limitHeap
 	file, err := shared.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
@@ -87,6 +119,7 @@
 		}
 	}
 	override(old, "/offline")
+	awaitHandoverSocket(t, dir)
 	next := newTestGatewayOn(t, listener, dir, backend)
 	next.awaitMetrics(t, "app.skipped_backends:1|g")
 	override(next, "/online")
@@ -178,13 +211,8 @@
 	backend := newTestServer(t)
 	listener, dir := newSharedListener(t)
 	old := newTestGatewayOn(t, listener, dir, backend)
-	conn, err := net.Dial("unix", filepath.Join(dir, handoverSocketName))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(testTimeout))
-	stalled := newSiblingConn(conn)
+	stalled := dialHandover(t, dir)
+	stalled.conn.SetDeadline(time.Now().Add(testTimeout))
 	var message handoverMessage
 	if err := stalled.send(handoverMessage{Join: true}); err != nil {
 		t.Fatal(err)
@@ -214,13 +242,8 @@
 	old := newTestGatewayOn(t, listener, dir, backend)
 	kept, responses := old.request(t, requestText("GET", "lookup", "", idHeader, ""))
 	wait(t, responses, "response")
-	conn, err := net.Dial("unix", filepath.Join(dir, handoverSocketName))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(testTimeout))
-	next := newSiblingConn(conn)
+	next := dialHandover(t, dir)
+	next.conn.SetDeadline(time.Now().Add(testTimeout))
 	var message handoverMessage
 	if err := next.send(handoverMessage{Join: true}); err != nil {
 		t.Fatal(err)
--- a/internal/gateway/machine_test.go
+++ b/internal/gateway/machine_test.go
@@ -110,6 +110,7 @@
 		_, responses := old.request(t, requestText("GET", "lookup", ""))
 		serveOne(t, backend, "ok")
 		wait(t, responses, "response")
+		awaitHandoverSocket(t, dir)
 		config, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/gateway/resources_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against processes whose heaps together pass the memory of the gateway.
+func TestHeapLimitsFitIntoMemory(t *testing.T) {
+	const minDeployedMB, maxDeployedMB = 32, 192
+	for memoryMB := minDeployedMB; memoryMB <= maxDeployedMB; memoryMB++ {
+		for processes := 1; processes <= 2; processes++ {
+			plan := newResourcePlan(memoryMB, 512, processes)
+			total := sharedProgramBytes + processes*(processBytes+int(plan.heap))
+			if plan.heap <= 0 || plan.bodies <= 0 || total > memoryMB<<20 {
+				t.Errorf("%d processes of a gateway of %d MB take %d bytes: %+v", processes, memoryMB, total, plan)
+			}
+		}
+	}
+}
+
+// newHeapRecorder returns a function that passes each heap limit on.
+func newHeapRecorder() (limits chan int64, limitHeap func(int64)) {
+	limits = make(chan int64, 16)
+	return limits, func(bytes int64) { limits <- bytes }
+}
+
+// Guards against a heap limit that stays as it was at the start of the process, while another process
+// starts or ends, or a reload changes the memory.
+func TestHeapLimitFollowsProcessesAndReloads(t *testing.T) {
+	t.Parallel()
+	backend := newTestServer(t)
+	listener, dir := newSharedListener(t)
+	oldLimits, limitOld := newHeapRecorder()
+	nextLimits, limitNext := newHeapRecorder()
+	expect := func(limits <-chan int64, what string, memoryMB, processes int) {
+		t.Helper()
+		if got, want := wait(t, limits, what), heapLimit(memoryMB, processes); got != want {
+			t.Errorf("%s: heap limit of %d bytes, want %d", what, got, want)
+		}
+	}
+	old := newTestGatewayWithHeap(t, listener, dir, limitOld, backend)
+	expect(oldLimits, "alone", 192, 1)
+	awaitHandoverSocket(t, dir)
+	next := newTestGatewayWithHeap(t, listener, dir, limitNext, backend)
+	expect(oldLimits, "beside a successor", 192, 2)
+	expect(nextLimits, "before it knows its predecessor", 192, 1)
+	expect(nextLimits, "beside its predecessor", 192, 2)
+	config, err := parseConfig([]byte(strings.Replace(configText(next.discovery.address(), testSettings), `"memory_mb": 192`, `"memory_mb": 64`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.reloads <- Reload{Config: config}
+	expect(nextLimits, "after a reload", 64, 2)
+	old.stop()
+	if err := wait(t, old.ended, "end"); err != nil {
+		t.Error(err)
+	}
+	expect(nextLimits, "after the end of its predecessor", 64, 1)
+}
+
+// Guards against a successor that learns of its part before the old process has given it up, and against
+// requests that wait meanwhile.
+func TestSuccessorStartsAfterHeapIsReleased(t *testing.T) {
+	t.Parallel()
+	backend := newTestServer(t)
+	listener, dir := newSharedListener(t)
+	lowered, released := make(chan struct{}), make(chan struct{})
+	old := newTestGatewayWithHeap(t, listener, dir, func(bytes int64) {
+		if bytes == heapLimit(192, 2) {
+			close(lowered)
+			<-released
+		}
+	}, backend)
+	successor := dialHandover(t, dir)
+	if err := successor.send(handoverMessage{Join: true}); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, lowered, "lower limit")
+	_, responses := old.request(t, requestText("POST", "payment", "x")) // its id is claimed
+	serveOne(t, backend, "ok")
+	wait(t, responses, "response")
+	successor.conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := successor.conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the successor got the state before the memory was released")
+	}
+	close(released)
+	successor.conn.SetReadDeadline(time.Now().Add(testTimeout))
+	var message handoverMessage
+	if err := successor.decoder.Decode(&message); err != nil || message.Snapshot == nil {
+		t.Errorf("no state: %v", err)
+	}
+}
