gateway: a process counts beside a predecessor or successor that is silent

A new process that got no state within 2 s took the resources of a whole gateway, and so did both processes when the old one gave up a successor that had not served after 6 s, since it closed their connection.

Change: the connection to a silent predecessor is kept, and the limits are shared until it ends; state that comes later is ignored. A successor that does not serve is logged and counts until it ends.

Result: TestSilentPredecessorCountsAgainstTheLimits failed before (no second limit) and passes.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -169,6 +170,8 @@
 			return nil, nil
 		case err == nil:
 			return state, nil
+		case errors.Is(err, errSilentPredecessor):
+			return nil, err
 		}
 		select {
 		case <-time.After(joinRetryInterval):
@@ -179,6 +182,8 @@
 	}
 }
 
+var errSilentPredecessor = errors.New("it runs but does not answer")
+
 // requestState requests the predecessor's state once. It returns nil without an error if nobody
 // listens on the socket.
 func (h *handover) requestState(ctx context.Context, dir string) (*snapshot, error) {
@@ -197,7 +202,11 @@
 	if err == nil && reply.Snapshot == nil {
 		err = errors.New("the reply to a join has no state")
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		h.adoptSilentPredecessor(sibling)
+		return nil, errSilentPredecessor
+	case err != nil:
 		conn.Close()
 		return nil, err
 	}
@@ -208,6 +217,17 @@
 	return reply.Snapshot, nil
 }
 
+// adoptSilentPredecessor keeps the connection to a predecessor process that runs but has not sent its state
+// in time: the limits of the gateway hold for both together until it has ended. State that it sends later
+// is ignored.
+func (h *handover) adoptSilentPredecessor(sibling *siblingConn) {
+	sibling.conn.SetReadDeadline(time.Time{})
+	// A decoder that has failed keeps its error.
+	sibling.decoder = json.NewDecoder(io.MultiReader(sibling.decoder.Buffered(), sibling.conn))
+	h.loop.post(moduleEvent{rules.SiblingServing})
+	h.setSibling(sibling, false)
+}
+
 // clockStep returns by how many seconds the local clock is ahead of the clock of a process that
 // read it as siblingTime between requestedAt and repliedAt, or 0 if the two may agree. Each clock
 // starts at the wall clock, which may have been stepped between the starts of the processes.
@@ -374,7 +394,7 @@
 		return errors.New("this process has stopped")
 	}
 	slog.Info("state exported")
-	time.AfterFunc(successorTimeout, func() { h.dropIfNotServing(sibling) })
+	time.AfterFunc(successorTimeout, func() { h.reportIfNotServing(sibling) })
 	return nil
 }
 
@@ -388,14 +408,13 @@
 	}
 }
 
-// dropIfNotServing disconnects a successor process that does not serve, so that this process may
-// use all of the gateway's resources again.
-func (h *handover) dropIfNotServing(sibling *siblingConn) {
+// reportIfNotServing logs that a successor process does not serve. The process still counts against the
+// limits of the gateway, until it ends.
+func (h *handover) reportIfNotServing(sibling *siblingConn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.sibling == sibling && !h.successorServing {
 		slog.Error("the new process does not serve")
-		sibling.conn.Close()
 	}
 }
 
--- a/internal/gateway/resources_test.go
+++ b/internal/gateway/resources_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -92,3 +94,32 @@
 		t.Errorf("no state: %v", err)
 	}
 }
+
+// Guards against a process that takes the resources of a whole gateway since its predecessor, which still
+// runs, did not answer.
+func TestSilentPredecessorCountsAgainstTheLimits(t *testing.T) {
+	t.Parallel()
+	listener, dir := newSharedListener(t)
+	socket, err := net.Listen("unix", filepath.Join(dir, handoverSocketName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	limits, limitHeap := newHeapRecorder()
+	gateway := newTestGatewayWithHeap(t, listener, dir, limitHeap, newTestServer(t))
+	if first, second := wait(t, limits, "limit"), wait(t, limits, "limit"); first != heapLimit(192, 1) || second != heapLimit(192, 2) {
+		t.Errorf("heap limits of %d and %d bytes, want %d and %d", first, second, heapLimit(192, 1), heapLimit(192, 2))
+	}
+	predecessor, err := socket.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	predecessor.Close()
+	if limit := wait(t, limits, "limit"); limit != heapLimit(192, 1) {
+		t.Errorf("heap limit of %d bytes once the predecessor has ended, want %d", limit, heapLimit(192, 1))
+	}
+	gateway.stop()
+	if err := wait(t, gateway.ended, "end"); err != nil {
+		t.Error(err)
+	}
+}
