gateway: two processes share the limit of requests in progress

Cause: the settings' limit of open requests belongs to the gateway, and each process of an upgrade applied the whole of it.

Result: TestRequestsInProgressAreSharedByProcesses failed before (21 of 10) and passes.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -279,7 +279,7 @@
 		exchange.responses <- response{status: http.StatusServiceUnavailable}
 		return
 	}
-	if l.service.MaxInProgress > 0 && len(l.live) >= l.service.MaxInProgress || len(l.live) >= l.plan.requests {
+	if len(l.live) >= l.maxInProgress() {
 		exchange.counts.dropped.Add(1)
 		l.metrics.overloaded.Add(1)
 		exchange.rejectReason = "overloaded"
@@ -298,6 +298,15 @@
 	l.handle(exchange.request)
 }
 
+// maxInProgress returns the limit of requests in progress at this process: its part of the gateway's
+// limit, and what its memory allows.
+func (l *Loop) maxInProgress() int {
+	if l.service.MaxInProgress <= 0 {
+		return l.plan.requests
+	}
+	return min(max(l.service.MaxInProgress/l.plan.processes, 1), l.plan.requests)
+}
+
 // accept counts a request whose last byte has arrived as in progress.
 func (l *Loop) accept(exchange *exchange) {
 	exchange.accepted = true
--- a/internal/gateway/resources_test.go
+++ b/internal/gateway/resources_test.go
@@ -123,3 +123,17 @@
 		t.Error(err)
 	}
 }
+
+// Guards against two processes that each accept as many requests as the settings allow the gateway.
+func TestRequestsInProgressAreSharedByProcesses(t *testing.T) {
+	loop := &Loop{service: &serviceConfig{}, plan: newResourcePlan(192, 1024, 1)}
+	if got := loop.maxInProgress(); got != loop.plan.requests {
+		t.Errorf("without a limit %d requests, want %d", got, loop.plan.requests)
+	}
+	for processes, want := range map[int]int{1: 21, 2: 10} {
+		loop.service.MaxInProgress, loop.plan = 21, newResourcePlan(192, 1024, processes)
+		if got := loop.maxInProgress(); got != want {
+			t.Errorf("one of %d processes accepts %d requests of 21, want %d", processes, got, want)
+		}
+	}
+}
