gateway: a body that has been read is not sent again without it

Cause: a body in chunks that takes over 100 ms is streamed, and what was kept of it is freed once an attempt reads the remainder. The decision module learnt that from the end of that attempt alone (AttemptEnd.BodyConsumed), so it sent a second copy while the first was in flight, and the copy found the end of the body at once. An attempt that the loop ends early reports nothing either: a retry after it could have read a body from its middle, or lost it when the earlier attempt ended late and took the body from its successor.

Change: the event BodyConsumed tells the module before the remainder is read, and so before the body can be complete. An attempt asks for the body before it writes a byte, and does not start if another one has read it. Only the attempt that has the body gives it back.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,13 +21,12 @@
 
 // result is how an attempt ended.
 type result struct {
-	outcome      rules.Outcome
-	err          error    // why there is no complete response
-	response     response // if the outcome is rules.Served
-	units        float64  // of the quota, as the backend reports them; 0: not reported
-	bodyErr      error    // why the client's body is incomplete; the backend has run nothing then
-	bodyConsumed bool     // the client's body can't be sent to another backend
-	clientGone   bool     // the client has disconnected, and nothing was sent
+	outcome    rules.Outcome
+	err        error    // why there is no complete response
+	response   response // if the outcome is rules.Served
+	units      float64  // of the quota, as the backend reports them; 0: not reported
+	bodyErr    error    // why the client's body is incomplete; the backend has run nothing then
+	clientGone bool     // the client has disconnected, and nothing was sent
 }
 
 // attempt sends a request to one backend, once. The loop owns all fields but those that mu
@@ -115,6 +114,18 @@
 // errClientGone reports that a client had disconnected when an attempt was about to begin.
 var errClientGone = errors.New("the client has disconnected")
 
+// claimRequest makes the attempt the sender of its request. It returns an error if the client has
+// disconnected, or if a body that is streamed can't be sent from its start.
+func (a *attempt) claimRequest() error {
+	if a.exchange.clientGone() {
+		return errClientGone
+	}
+	if a.exchange.upload != nil {
+		return a.exchange.upload.assign(a)
+	}
+	return nil
+}
+
 // runAttempt sends a request and waits for the response. An error before the last byte is
 // written proves that the backend has run nothing; a later one proves nothing.
 func (p *pools) runAttempt(attempt *attempt) result {
@@ -129,13 +140,13 @@
 		p.discard(conn)
 		return result{outcome: rules.ConnectFailed}
 	}
-	if attempt.exchange.clientGone() {
+	if err := attempt.claimRequest(); err != nil {
 		if attempt.detach() {
 			p.put(conn)
 		} else {
 			p.discard(conn)
 		}
-		return result{outcome: rules.NotStarted, err: errClientGone, clientGone: true}
+		return result{outcome: rules.NotStarted, err: err, clientGone: err == errClientGone}
 	}
 	var res result
 	var reuse bool
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -413,6 +413,7 @@
 	exchange.request.BodyPending = true
 	exchange.upload = &upload{request: r, length: r.ContentLength, clientTimeout: exchange.timeout, budget: &f.metrics.bodyBudget,
 		prefix: prefix, remainder: remainder, reservedMemory: held, window: window{budget: &f.metrics.bodyBudget, prepaid: minWindow}}
+	exchange.upload.onConsumed = func() { f.loop.post(bodyConsumed{exchange}) }
 	exchange.upload.onComplete = func(until time.Time) { f.loop.post(bodyComplete{exchange, until}) }
 	return 0, nil
 }
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -46,7 +46,7 @@
 	}
 	listener := newPipeListener()
 	front := &frontend{metrics: &metrics{bodyBudget: budget{total: 4 << 20}}, clients: newClientListener(listener, 100),
-		loop: &Loop{clock: newClock(), inbox: make(chan any, 1), stopped: make(chan struct{})}}
+		loop: &Loop{clock: newClock(), inbox: make(chan any, inboxSize), stopped: make(chan struct{})}}
 	front.service.Store(front.metrics.newService(deploy, 0))
 	server := front.server()
 	ended := make(chan struct{})
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -33,7 +33,8 @@
 		exchange *exchange
 		deadline time.Time // of the request
 	}
-	responseStarted struct { // the head of a response is ready to be streamed to the client
+	bodyConsumed    struct{ exchange *exchange } // an attempt has begun to read what is not kept of a streamed request body
+	responseStarted struct {                     // the head of a response is ready to be streamed to the client
 		attempt  *attempt
 		response response
 		accepted chan<- bool // buffered
@@ -211,6 +212,8 @@
 		message.exchange.discardResponses(&l.metrics.bodyBudget) // its handler has returned
 	case bodyComplete:
 		l.completeBody(message.exchange, message.deadline)
+	case bodyConsumed:
+		l.handle(rules.BodyConsumed{Request: message.exchange.request.ID})
 	case responseStarted:
 		message.accepted <- l.startResponse(message.attempt, message.response)
 	case interimResponse:
@@ -568,7 +571,7 @@
 		l.respond(exchange.request.ID, res.response)
 	}
 	l.handle(rules.AttemptEnd{Request: exchange.request.ID, Attempt: attempt.number, Backend: attempt.backend, Outcome: res.outcome,
-		Took: attempt.took, Done: !exchange.inProgress, BodyConsumed: res.bodyConsumed, Units: res.units})
+		Took: attempt.took, Done: !exchange.inProgress, Units: res.units})
 	l.forget(exchange)
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -75,13 +75,13 @@
 	w.WriteString("\r\n")
 }
 
-// streamBody sends a request whose body is still arriving from the client. It reads the
+// streamBody sends a request whose body is still arriving from the client, and which the attempt has
+// claimed. It reads the
 // response at the same time, since a backend may answer before the body has ended. The
 // second result reports whether the connection may be reused.
 func (p *pools) streamBody(attempt *attempt, conn *backendConn) (result, bool) {
 	upload := attempt.exchange.upload
 	conn.SetDeadline(attempt.wallDeadline) // no deadline unless the body is already complete
-	upload.assign(attempt)
 	sent := make(chan error, 1)
 	p.metrics.uploads.streaming.Add(1)
 	go func() {
@@ -106,7 +106,7 @@
 			err = <-sent // the sender is at the last piece
 		}
 	}
-	res.bodyConsumed, bodyErr = upload.unassign()
+	bodyErr = upload.unassign(attempt)
 	if err == nil || res.outcome != rules.Broken && res.outcome != rules.TimedOut {
 		return res, reuse && err == nil // a response, or a failure after the whole body was sent
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -26,6 +27,7 @@
 var (
 	errBodyTooLong     = errors.New("the body is too long")
 	errTransferAborted = errors.New("transfer aborted: the client has its response or has disconnected")
+	errBodyConsumed    = fmt.Errorf("%w: another attempt has read its body", errTransferAborted)
 )
 
 // pace limits how long the transfer waits for one of its sides: at most maxPause at a time,
@@ -260,6 +262,7 @@
 	request       *http.Request // of the client; has the trailers once the body is complete
 	length        int64         // bytes; -1 if unknown
 	clientTimeout time.Duration // counts from the last byte of the body
+	onConsumed    func()        // called before the first read of remainder
 	onComplete    func(responseDeadline time.Time)
 	budget        *budget
 	prefix        *bodyPrefix
@@ -277,23 +280,31 @@
 	responseDeadline time.Time // set once the body is complete
 }
 
-// assign makes an attempt the sender of the body, from its start.
-func (u *upload) assign(sender *attempt) {
+// assign makes an attempt the sender of the body, from its start. It returns errBodyConsumed if the start
+// is gone, since another attempt has read the remainder. Attempts that ended earlier may still run: from
+// here on they can't read the remainder.
+func (u *upload) assign(sender *attempt) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.reader != nil {
+		return errBodyConsumed
+	}
 	u.sender = sender
+	return nil
 }
 
-// unassign takes the body from its sender. It reports whether the body can no longer be sent
-// to another backend, and the error of the client's side, if any.
-func (u *upload) unassign() (consumed bool, clientErr error) {
+// unassign takes the body from the attempt, if it is the sender, and returns the error of the client's
+// side, if any.
+func (u *upload) unassign(sender *attempt) (clientErr error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.sender = nil
+	if u.sender == sender {
+		u.sender = nil
+	}
 	if u.err != io.EOF && u.err != errTransferAborted {
 		clientErr = u.err
 	}
-	return u.reader != nil, clientErr
+	return clientErr
 }
 
 // next returns the next piece of the body for a sender that has sent offset bytes of its
@@ -323,12 +334,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
+	case u.reader != nil && u.reader != sender:
+		return errBodyConsumed // also at the end of the body, most of which the sender has not seen
 	case u.err != nil:
 		return u.err
 	case u.closed || u.sender != sender:
 		return errTransferAborted
 	case willRead && u.reader == nil:
 		u.reader = sender
+		u.onConsumed()
 		u.prefix.discard()
 		u.budget.release(u.reservedMemory)
 		u.reservedMemory = 0
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -121,8 +121,7 @@
 				start, ended := time.Now(), make(chan time.Time, 1)
 				go func() {
 					var attempt attempt
-					exchange.upload.assign(&attempt)
-					var err error
+					err := exchange.upload.assign(&attempt)
 					for offset := 0; err == nil; {
 						var piece []byte
 						piece, err = exchange.upload.next(&attempt, offset)
@@ -146,6 +145,9 @@
 				}
 				client.Close()
 				if !test.aborted {
+					if _, consumed := (<-front.loop.inbox).(bodyConsumed); !consumed {
+						t.Error("the loop did not receive bodyConsumed")
+					}
 					if _, complete := (<-front.loop.inbox).(bodyComplete); !complete {
 						t.Error("the loop did not receive bodyComplete")
 					}
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -120,7 +120,6 @@
 	request.outstanding--
 	g.outstanding--
 	quota.active--
-	request.bodyConsumed = request.bodyConsumed || end.BodyConsumed
 	if (end.Outcome == TimedOut || end.Outcome == Cancelled) && attempt.counted {
 		// The backend may still work on the attempt. If it were not counted, each timeout would add another
 		// attempt at an overloaded backend. The time grows with the number of consecutive timeouts.
--- a/rules/operator_test.go
+++ b/rules/operator_test.go
@@ -239,7 +239,8 @@
 	}
 	// An incomplete request has not run, and it cannot be resent once its body is consumed.
 	id, send = open()
-	actions = harness.handle(AttemptEnd{Request: id, Backend: send.Backend, Outcome: ConnectFailed, BodyConsumed: true})
+	harness.handle(BodyConsumed{Request: id})
+	actions = harness.handle(AttemptEnd{Request: id, Backend: send.Backend, Outcome: ConnectFailed})
 	if n := len(actionsOf[Send](actions)); n != 0 {
 		t.Errorf("sent %d more times", n)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,6 +57,10 @@
 		g.handleEstablished(typed)
 	case BodyComplete:
 		g.completeBody(typed)
+	case BodyConsumed:
+		if request := g.activeRequest(typed.Request); request != nil {
+			request.bodyConsumed = true
+		}
 	case ClientGone:
 		if request := g.activeRequest(typed.Request); request != nil {
 			g.finish(request)
--- a/rules/types.go
+++ b/rules/types.go
@@ -210,6 +210,10 @@
 	Deadline float64 // replaces Request.Deadline
 }
 
+// BodyConsumed reports that an attempt has begun to read the part of a pending body that is not kept. The
+// request can't be sent again. It precedes BodyComplete, and comes while the attempt is in flight.
+type BodyConsumed struct{ Request RequestID }
+
 // Established reports that a streamed answer has begun.
 type Established struct {
 	Request RequestID
@@ -227,7 +231,6 @@
 	Outcome       Outcome
 	Took          float64 // time since the attempt was sent
 	Done          bool    // the client has its final answer
-	BodyConsumed  bool    // the request body is used up, so the request cannot be resent
 	CustomerUsage int     // 1 + the customer's quota usage in percent; 0 if unknown
 	Units         float64 // actual units; 0 if unknown
 	LoadData      []float64
@@ -354,6 +357,7 @@
 
 func (Backends) event()         {}
 func (BodyComplete) event()     {}
+func (BodyConsumed) event()     {}
 func (Export) event()           {}
 func (Import) event()           {}
 func (SiblingProcess) event()   {}
