gateway: an attempt that ends beside a streamed answer gives back its memory

Cause: two attempts are out, and the answer of one is streamed. When the other one ended, the loop took its end for that of the streamed answer. A whole answer was not discarded, so its bytes stayed reserved for ever; a failure counted the request as failed, and both counted it as ended while its answer was still being sent.

Change: only the attempt whose answer is streamed ends the request.

Result: TestAttemptEndsBesideStreamedAnswer failed before in its three forms (20,000 bytes of the budget left; in_progress 0 while the answer was sent) and passes.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -557,7 +557,7 @@
 	exchange := attempt.exchange
 	exchange.inFlight--
 	switch {
-	case !exchange.inProgress:
+	case !exchange.inProgress, exchange.responseStarted && attempt.download == nil: // another answer is being sent, or was
 		res.response.discard(&l.metrics.bodyBudget)
 	case exchange.responseStarted && res.outcome == rules.Served:
 		l.finish(exchange)
--- a/internal/gateway/second_attempt_test.go
+++ b/internal/gateway/second_attempt_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -74,10 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			backends := newHangingBackends(t, 2)
-			gateway := newTestGatewayWith(t, func(text string) string {
-				text = strings.Replace(text, `"cancel": true`, `"cancel": true, "mayDuplicate": true`, 1)
-				return strings.Replace(text, `"keyScope": "cell"`, `"keyScope": "all"`, 1)
-			}, backends.servers...)
+			gateway := newTestGatewayWith(t, allowSecondCopies, backends.servers...)
 			for range 8 { // the gateway learns how long an answer takes
 				_, responses := gateway.request(t, requestText("GET", "lookup", ""))
 				wait(t, responses, "response")
@@ -198,3 +196,83 @@
 		t.Errorf("the next request on the connection: outcome %d, %v", got.outcome, got.err)
 	}
 }
+
+// Guards against memory that is never returned, and a request that counts as failed, when another attempt
+// ends while the answer of the first is streamed.
+func TestAttemptEndsBesideStreamedAnswer(t *testing.T) {
+	const streamedBytes = 4 * maxHeldBody
+	answers := map[string]string{
+		"served": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("y", 20000),
+		"failed": "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"broken": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("y", 10000),
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backends := []*testServer{newTestServer(t), newTestServer(t)}
+			gateway := newTestGatewayWith(t, allowSecondCopies, backends...)
+			conns := make(chan net.Conn, 16)
+			for _, backend := range backends {
+				go answerLookups(t, backend, conns)
+			}
+			for range 8 { // the gateway learns how long an answer takes
+				_, responses := gateway.request(t, requestText("GET", "lookup", ""))
+				wait(t, responses, "response")
+			}
+			_, responses := gateway.request(t, requestText("POST", "booking", "body"))
+			first, second := wait(t, conns, "first copy"), wait(t, conns, "second copy")
+			fmt.Fprintf(second, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", streamedBytes, strings.Repeat("x", maxHeldBody))
+			response := wait(t, responses, "start of the response")
+			io.WriteString(first, answer)
+			first.(*net.TCPConn).CloseWrite()
+			awaitEnd(t, first)
+			gateway.awaitMetrics(t, "app.in_progress:1|g")
+			io.WriteString(second, strings.Repeat("x", streamedBytes-maxHeldBody))
+			if body, err := io.ReadAll(response.Body); err != nil || len(body) != streamedBytes {
+				t.Errorf("the client got %d bytes of %d, %v", len(body), streamedBytes, err)
+			}
+			gateway.awaitMetrics(t, "app.in_progress:0|g", "app.transfers.memory:0|g", "app.handled.booking.passed:1|c", "app.handled.booking.bad_gateway:0|c")
+		})
+	}
+}
+
+// allowSecondCopies changes a configuration so that a request may have two attempts in flight.
+func allowSecondCopies(text string) string {
+	text = strings.Replace(text, `"cancel": true`, `"cancel": true, "mayDuplicate": true`, 1)
+	return strings.Replace(text, `"keyScope": "cell"`, `"keyScope": "all"`, 1)
+}
+
+// answerLookups answers requests of the class lookup. It passes the connections of others on, whose request
+// has been read.
+func answerLookups(t *testing.T, server *testServer, others chan<- net.Conn) {
+	for {
+		select {
+		case conn := <-server.conns:
+			go func() {
+				for reader := bufio.NewReader(conn); ; {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, request.Body)
+					if !strings.HasPrefix(request.URL.Path, "/lookup") {
+						others <- conn
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		case <-t.Context().Done():
+			return
+		}
+	}
+}
+
+// awaitEnd waits until the gateway has closed its side of a connection.
+func awaitEnd(t *testing.T, conn net.Conn) {
+	t.Helper()
+	conn.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the gateway did not close the connection")
+	}
+}
