gateway: a request waits for body memory no longer than its client does

Cause: the memory for a body is reserved before the body is read, and that wait knew its own limit of 2 s alone. The refusal itself was paced like that of an invalid request, by up to a second on a connection that has had many answers.

Change: the wait ends with the client's time, counted from when the last byte can have been sent; the refusal is paced like that of any valid request.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -222,11 +222,16 @@
 	}
 	exchange, status, err := f.read(r, control)
 	if err != nil {
-		f.paceLocalAnswer(conn, maxInvalidPause)
+		noMemory := errors.Is(err, errNoBodyMemory)
+		maxPause := maxInvalidPause
+		if noMemory {
+			maxPause = maxRejectionPause // the request is valid, and its client waits
+		}
+		f.paceLocalAnswer(conn, maxPause)
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close") // the rest of the body may still arrive
 		}
-		if errors.Is(err, errNoBodyMemory) {
+		if noMemory {
 			w.Header().Set("Retry-After", strconv.Itoa(budgetRetryAfter))
 		}
 		control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -379,7 +384,7 @@
 		held, memory = maxHeldBody, maxHeldBody+minWindow
 	}
 	if memory > uncountedBytes {
-		if err := f.metrics.bodyBudget.reserve(r.Context(), memory); err != nil {
+		if err := f.reserveBody(r.Context(), exchange, memory); err != nil {
 			exchange.counts.dropped.Add(1)
 			f.metrics.uploads.ended[noMemory].Add(1)
 			return http.StatusServiceUnavailable, err
@@ -418,6 +423,15 @@
 	return 0, nil
 }
 
+// reserveBody reserves memory for the body of a request. It waits for no longer than the client does: the
+// whole body may have arrived already.
+func (f *frontend) reserveBody(ctx context.Context, exchange *exchange, bytes int) error {
+	timeLeft := exchange.timeout - exchange.sinceLastByte() - seconds(responseMargin)
+	ctx, cancel := context.WithTimeout(ctx, timeLeft)
+	defer cancel()
+	return f.metrics.bodyBudget.reserve(ctx, bytes)
+}
+
 // fillWithin fills a prefix for at most the given time. After that the body is released
 // for streaming and the prefix is filled in the background.
 func fillWithin(prefix *bodyPrefix, timeout time.Duration) (complete bool, err error) {
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -206,6 +206,32 @@
 	})
 }
 
+// Guards against a request that waits for memory of others beyond the time that its client has left.
+func TestBodyWaitsForMemoryNoLongerThanItsClient(t *testing.T) {
+	for name, framing := range map[string][2]string{"of known length": {"Content-Length", "8000"}, "in chunks": {"Transfer-Encoding", "chunked"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const timeLeft = 480 * time.Millisecond
+				front, listener := newPipedFrontend(t)
+				front.metrics.bodyBudget.tryReserve(front.metrics.bodyBudget.total)
+				client, server := net.Pipe()
+				defer client.Close()
+				listener.conns <- server
+				start := time.Now()
+				io.WriteString(client, requestText("POST", "booking", "", framing[0], framing[1], timeLeftHeader, strconv.FormatInt(timeLeft.Milliseconds(), 10)))
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+					t.Fatalf("response %v, %v; want 503 with Retry-After", resp, err)
+				}
+				if took := time.Since(start); took > timeLeft {
+					t.Errorf("rejected after %v, want at most %v", took, timeLeft)
+				}
+				io.Copy(io.Discard, client) // until the server closes the connection
+			})
+		})
+	}
+}
+
 // A slow upload of unknown length is streamed piece by piece, and its trailer after it.
 func TestSlowChunkedUploadIsStreamed(t *testing.T) {
 	t.Parallel()
