--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,20 +21,21 @@
 var errNoBodyMemory = errors.New("no memory for a body")
 
 // budget limits the memory that the bodies of requests and responses take. Reservations that
-// have to wait are served in order. A waiting transfer holds no memory, so that waiters cannot
+// have to wait are served in the order of their deadlines. A waiting transfer holds no memory, so that waiters cannot
 // deadlock. It is safe for concurrent use.
 type budget struct {
 	mu      sync.Mutex
-	total   int // bytes
-	used    int // bytes
-	peak    int // maximum of used since the start
-	waiters []*waiter
+	total   int       // bytes
+	used    int       // bytes
+	peak    int       // maximum of used since the start
+	waiters []*waiter // by deadline
 }
 
 // waiter is a reservation that waits for memory.
 type waiter struct {
-	bytes   int
-	granted chan struct{}
+	bytes    int
+	deadline time.Time
+	granted  chan struct{}
 }
 
 // setTotal changes the total. Existing reservations stay.
@@ -95,17 +97,23 @@
 // reserve reserves bytes, and waits up to budgetTimeout for them. It returns
 // errNoBodyMemory if they do not become free in time or ctx ends.
 func (b *budget) reserve(ctx context.Context, bytes int) error {
+	ctx, cancel := context.WithTimeout(ctx, budgetTimeout)
+	defer cancel()
 	b.mu.Lock()
 	if len(b.waiters) == 0 && b.used+bytes <= b.total {
 		b.add(bytes)
 		b.mu.Unlock()
 		return nil
 	}
-	own := &waiter{bytes, make(chan struct{})}
-	b.waiters = append(b.waiters, own)
+	own := &waiter{bytes: bytes, granted: make(chan struct{})}
+	own.deadline, _ = ctx.Deadline()
+	place := len(b.waiters)
+	for place > 0 && own.deadline.Before(b.waiters[place-1].deadline) {
+		place--
+	}
+	b.waiters = slices.Insert(b.waiters, place, own)
+	b.grantWaiters() // a smaller reservation may have come first
 	b.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, budgetTimeout)
-	defer cancel()
 	select {
 	case <-own.granted:
 		return nil
