group: a sound member is not refused for a join request older than its entries

Callers saw: a member of a group of three, started while the way to its writer was cut, ended for good once the way was whole, and again at each later start.

Cause: a member told the length that its log had at its start, until each of the others had answered. A majority without the writer lets it take part after 2 s. Once the way was whole, the writer first had its acknowledgements of newer entries, then the request with the old length, and took the folder for an older copy.

Change: each request tells of the log as it is then. A request may still be overtaken by acknowledgements that were sent after it, so the writer refuses only a second request with the same length: that one is sent after the reply to the first, and so tells of all that had been acknowledged by then.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -68,6 +68,7 @@
 	core              *core
 	members           *memberTable
 	participating     bool                                // enough others have welcomed this member
+	shortLogs         map[uint64]shortLog                 // by member; told by join requests that are not decided yet
 	lastReceived      map[uint64]time.Time                // time of the last message by member
 	pendingChange     uint64                              // key of the membership change in progress; 0: none
 	startPeer         func(number uint64, address string) // starts to send messages to a member
@@ -99,7 +100,7 @@
 		return nil, err
 	}
 	g := &Group{config: config, log: log, members: newMemberTable(config.initialMembers()), joinClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, calls: make(chan func(), maxPendingCalls), stopped: make(chan struct{}), openedAt: time.Now(), state: ledger.New(config.Limits),
-		lastReceived: map[uint64]time.Time{}, proposals: map[uint64]*proposal{}, reads: map[uint64]*pendingRead{}, expiring: map[uint64]bool{}, peers: map[uint64]*peer{}, entryApplied: make(chan struct{}), leadershipLost: make(chan struct{}),
+		shortLogs: map[uint64]shortLog{}, lastReceived: map[uint64]time.Time{}, proposals: map[uint64]*proposal{}, reads: map[uint64]*pendingRead{}, expiring: map[uint64]bool{}, peers: map[uint64]*peer{}, entryApplied: make(chan struct{}), leadershipLost: make(chan struct{}),
 		commitLatency: hdrhistogram.New(1, maxCommitMicroseconds, 3)}
 	process := randomName()
 	g.keyBase = rand.Uint64()
--- a/internal/group/handshake.go
+++ b/internal/group/handshake.go
@@ -82,8 +82,8 @@
 		reply.Reason = fmt.Sprintf("member %d was not added yet", request.Self)
 	case request.Incarnation < known.Number || request.Incarnation == known.Number && request.Process != known.Process:
 		reply.Verdict, reply.Reason = verdictRefused, fmt.Sprintf("member %d is in its start %d, and start %d was seen before: its folder was lost, or is an older one. %s", request.Self, request.Incarnation, known.Number, replaceAdvice)
-	case g.leaderReady && g.core.raw.Status().Progress[request.Self].Match > request.LastIndex:
-		reply.Verdict, reply.Reason = verdictRefused, fmt.Sprintf("member %d has entries up to %d and has acknowledged those up to %d: its folder is an older one. %s", request.Self, request.LastIndex, g.core.raw.Status().Progress[request.Self].Match, replaceAdvice)
+	case g.leaderReady && g.acknowledged(request.Self) > request.LastIndex:
+		reply.Verdict, reply.Reason = g.judgeShortLog(request)
 	default:
 		if err := g.core.saveIncarnation(incarnation{request.Self, request.Incarnation, request.Process}); err != nil {
 			reply.Reason = err.Error()
@@ -96,6 +96,29 @@
 	return reply
 }
 
+// shortLog is a log whose member has acknowledged more entries than its join request told of.
+type shortLog struct {
+	process   string // of the member
+	lastIndex uint64 // told by the request
+}
+
+// acknowledged returns the index of the last entry that a member has acknowledged to this leader.
+func (g *Group) acknowledged(member uint64) uint64 { return g.core.raw.Status().Progress[member].Match }
+
+// judgeShortLog decides on a join request of a member that has acknowledged more entries than its log has.
+// The member may have received and acknowledged them since it sent the request: then its next request
+// tells of a longer log. It is refused only if that tells of the same length as before, since it is
+// sent after this reply, and so after the acknowledgements.
+func (g *Group) judgeShortLog(request joinRequest) (verdict, string) {
+	current := shortLog{request.Process, request.LastIndex}
+	reason := fmt.Sprintf("member %d has entries up to %d and has acknowledged those up to %d", request.Self, request.LastIndex, g.acknowledged(request.Self))
+	if g.shortLogs[request.Self] != current {
+		g.shortLogs[request.Self] = current
+		return verdictUnknown, reason
+	}
+	return verdictRefused, reason + ": its folder is an older one. " + replaceAdvice
+}
+
 // replaceAdvice is the advice for a member whose folder is lost or old.
 const replaceAdvice = "Remove the member, and add another under a new number"
 
@@ -105,10 +128,11 @@
 }
 
 // handshake sends this member's join request to the others until each has welcomed it, or
-// until ctx ends. The member takes part in the group once a majority, itself included, has
+// until ctx ends. Each request tells of the log as it is then: a member that takes part may
+// receive entries before the last one has welcomed it. The member takes part in the group once a majority, itself included, has
 // welcomed it, and also the leader that they name, unless that does not reply within
 // joinLeaderTimeout.
-func (g *Group) handshake(ctx context.Context, request joinRequest, addresses map[uint64]string, required int) {
+func (g *Group) handshake(ctx context.Context, addresses map[uint64]string, required int) {
 	var mu sync.Mutex
 	welcomed, leaders := map[uint64]bool{}, map[uint64]bool{}
 	var quorumAt time.Time
@@ -136,8 +160,15 @@
 		wg.Go(func() {
 			lastReason := ""
 			for ctx.Err() == nil {
-				reply, err := g.sendJoin(ctx, address, request)
+				var request joinRequest
+				var reply joinReply
+				err := g.call(ctx, func() { request = g.newJoinRequest() })
+				if err == nil {
+					reply, err = g.sendJoin(ctx, address, request)
+				}
 				switch {
+				case errors.Is(err, errStopped):
+					return
 				case err != nil:
 				case reply.Verdict == verdictWelcome:
 					if reply.Members != nil {
@@ -246,10 +277,16 @@
 // quorum returns the number of voters that form a majority.
 func quorum(voters []uint64) int { return len(voters)/2 + 1 }
 
-// newJoin returns the join request of this member, the addresses to send it to, and how many of
-// the other members have to welcome it.
-func (g *Group) newJoin() (request joinRequest, addresses map[uint64]string, required int) {
-	request = joinRequest{Group: g.config.Name, Generation: g.members.Generation, Self: g.config.Self, Incarnation: g.core.incarnations[g.config.Self].Number, Process: g.core.incarnations[g.config.Self].Process, LastIndex: g.core.lastIndex()}
+// newJoinRequest returns the join request of this member as it is now. It runs in the loop.
+func (g *Group) newJoinRequest() joinRequest {
+	current := g.core.incarnations[g.config.Self]
+	return joinRequest{Group: g.config.Name, Generation: g.members.Generation, Self: g.config.Self, Incarnation: current.Number,
+		Process: current.Process, LastIndex: g.core.lastIndex()}
+}
+
+// joinTargets returns the addresses to send join requests to, and how many of the other members
+// have to welcome this one.
+func (g *Group) joinTargets() (addresses map[uint64]string, required int) {
 	addresses = map[uint64]string{}
 	for _, n := range g.members.others(g.config.Self) {
 		addresses[n] = g.members.Members[n].Address
@@ -258,5 +295,5 @@
 	if required = 1; slices.Contains(voters, g.config.Self) {
 		required = quorum(voters) - 1
 	}
-	return request, addresses, required
+	return addresses, required
 }
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -39,8 +39,9 @@
 	for _, n := range g.members.others(g.config.Self) {
 		g.startPeer(n, g.members.Members[n].Address)
 	}
-	request, addresses, required := g.newJoin()
-	wg.Go(func() { g.handshake(runCtx, request, addresses, required) })
+	request := g.newJoinRequest()
+	addresses, required := g.joinTargets()
+	wg.Go(func() { g.handshake(runCtx, addresses, required) })
 	for _, former := range g.members.Former {
 		wg.Go(func() { g.notifyFormer(runCtx, request, former.Address) })
 	}
