gateway: a discovery that answers late is still heard

Cause: the call after one that was given up had a second, and so had each one after that: all were given up.

Change: the time for an answer doubles with each call in a row that timed out, up to 4 s.

Result: TestSlowDiscoveryIsHeard failed before (never, with 1.2 s) and passes: within 6 s for answers up to 1.8 s late, and at last for 3.5 s.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -26,7 +26,8 @@
 	watchDuration    = 2 * time.Second
 	watchGrace       = 500 * time.Millisecond  // for the response header after watchDuration
 	listTimeout      = 2 * time.Second         // for the response header to a request for the full list
-	catchUpTimeout   = 1 * time.Second         // for the response header to the request after a failed one
+	catchUpTimeout   = 1 * time.Second         // for the response header to the request after a failed one; doubles with each timeout in a row
+	maxTimeout       = 4 * time.Second         // for any response header
 	bodyTimeout      = 1500 * time.Millisecond // for the body after the response header
 	watchRetryDelay  = 100 * time.Millisecond  // after a failed request; a watch lapses after 200 ms
 	maxListingBytes  = 4 << 20                 // of one response body
@@ -162,6 +163,7 @@
 	since          int64 // version of the list that was received last
 	hasList        bool  // since is valid
 	lastCallFailed bool
+	timeouts       int // requests in a row without a response header in time
 	onListing      func(Listing)
 
 	// onRejected reports that discovery answered 503, and returns when the next request is due.
@@ -240,13 +242,18 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+	timer := time.AfterFunc(w.extendTimeout(limit), func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return listing, err
 	}
 	resp, err := w.client.Do(req)
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		w.timeouts++
+	} else {
+		w.timeouts = 0
+	}
 	if err != nil {
 		return listing, err
 	}
@@ -270,6 +277,15 @@
 	return listing, nil
 }
 
+// extendTimeout doubles the timeout of a request for each of the last ones that timed out, but the first:
+// that one may have waited for a change. A service that is slow, and not gone, answers in time then.
+func (w *discoveryWatcher) extendTimeout(timeout time.Duration) time.Duration {
+	for range w.timeouts - 1 {
+		timeout = min(2*timeout, maxTimeout)
+	}
+	return timeout
+}
+
 // readListing decodes an answer of discovery. With full set, the answer must be the full list.
 // Danger: other JSON text must not decode as an empty list, which would remove all backends.
 func readListing(body []byte, full bool) (listing Listing, err error) {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -223,6 +225,59 @@
 	}
 }
 
+// slowDiscovery is a discovery that sends each answer late. Its list changes once.
+type slowDiscovery struct {
+	late      time.Duration
+	changedAt time.Time
+}
+
+// RoundTrip implements http.RoundTripper.
+func (d *slowDiscovery) RoundTrip(r *http.Request) (*http.Response, error) {
+	timeoutMs, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	watch := time.Duration(timeoutMs) * time.Millisecond
+	if r.URL.Query().Get("since") == "1" && time.Now().Before(d.changedAt) {
+		sleepFor(r.Context(), min(watch, time.Until(d.changedAt)))
+	}
+	generation := 1
+	if !time.Now().Before(d.changedAt) {
+		generation = 2
+	}
+	sleepFor(r.Context(), d.late)
+	if r.Context().Err() != nil {
+		return nil, context.Cause(r.Context())
+	}
+	body := fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[]}`, generation)
+	return &http.Response{StatusCode: 200, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// Guards against a discovery that is never heard since it sends each answer late: a call that is given up
+// must not be followed by others that are given up as early.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	const told = 6 * time.Second // a change counts as told
+	for late, limit := range map[time.Duration]time.Duration{0: told, 300 * time.Millisecond: told, 1200 * time.Millisecond: told,
+		1800 * time.Millisecond: told, 3500 * time.Millisecond: time.Minute} { // the last can't be heard in time
+		for change := time.Duration(0); change < 8*time.Second; change += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+				defer cancel()
+				discovery := &slowDiscovery{late: late, changedAt: time.Now().Add(20*time.Second + change)}
+				var receivedAt time.Time
+				watcher := newDiscoveryWatcher("discovery", func(listing Listing) {
+					if listing.Generation == 2 {
+						receivedAt = time.Now()
+						cancel()
+					}
+				}, func(context.Context) {})
+				watcher.client.Transport = discovery
+				watcher.follow(ctx)
+				if took := receivedAt.Sub(discovery.changedAt); receivedAt.IsZero() || took > limit {
+					t.Errorf("answers %v late, change after %v: received after %v, want at most %v", late, 20*time.Second+change, took, limit)
+				}
+			})
+		}
+	}
+}
+
 // roundTripFunc is an http.RoundTripper.
 type roundTripFunc func(*http.Request) (*http.Response, error)
 
