rules: units that a request did not take are not returned under a ceiling

Cause: a lease under a ceiling counts for the quota and the ceiling at once, and the difference between estimated and actual units was returned to it. The ceiling counts estimates: "the difference is deducted from the store or returned (not in the ceiling)".

Change: under a ceiling units are returned only as far as others were deducted that the ceiling did not count, and no more than the tolerated excess over it, divided among the gateways and processes.

Result: TestCeilingCountsEstimatedUnits failed before (3 units returned, none allowed) and passes, as does TestCeilingReturnsDeductedUnits. Such a customer gets less than its quota of actual units.

--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -154,9 +154,14 @@
 
 // settleUnits corrects the leased units once the actual units of a request are known.
 func (g *Gateway) settleUnits(request *pendingRequest, units float64) {
-	if g.settings.UnitsEstimated && units > 0 {
-		request.customer.leasedUnits -= units - request.units
+	if !g.settings.UnitsEstimated || units <= 0 {
+		return
+	}
+	excess := units - request.units
+	if request.customer.plan.CeilingRate > 0 {
+		excess = request.customer.settleUnderCeiling(excess, g.processFraction)
 	}
+	request.customer.leasedUnits -= excess
 }
 
 // dropAbandoned stops counting abandoned attempts that have expired, and those sent before the attempt that
--- a/rules/quota.go
+++ b/rules/quota.go
@@ -162,3 +162,17 @@
 		g.dispatch()
 	}
 }
+
+// settleUnderCeiling returns the excess of actual over estimated units, negative if a request took fewer, by
+// which a lease under a ceiling changes. The ceiling counts estimates, so units are returned only as far as
+// others were deducted that it did not count. The units kept for that stay within the tolerated excess over
+// the ceiling, for all gateways and processes together.
+func (q *customerQuota) settleUnderCeiling(excess, processFraction float64) float64 {
+	limit := 0.0
+	if !q.terms.mayOverdraw { // else the tolerated excess is used already
+		limit = q.plan.CeilingSlack / float64(max(q.gateways, 1)) * processFraction
+	}
+	excess = max(excess, -q.uncountedByCeiling)
+	q.uncountedByCeiling = min(q.uncountedByCeiling+excess, limit)
+	return excess
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -196,6 +196,7 @@
 	totalReceived             bool              // the counter has answered for this customer
 	exhaustedUntil            float64           // the quota is used up until then
 	unreportedUnits           float64           // spent in this window and not reported to the counter
+	uncountedByCeiling        float64           // deducted from leases beyond what the ceiling counts; see settleUnderCeiling
 	callsInFlight             int
 	unitCalls                 int     // calls in flight that request units
 	slotCalls                 int     // calls in flight that request slots
