gateway: the names of a request's trailers are read before its body

Cause: a chunked body is held for 100 ms. If its end comes just then, the goroutine that goes on reading it sets the values of the trailers while the handler reads their names from the same map.

Result: TestTrailersAreReadByOneGoroutine failed before (the race detector found the race) and passes.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -392,6 +392,9 @@
 	} else {
 		memory = 0
 	}
+	for name := range r.Trailer { // before the body is read: its end sets the values
+		exchange.announcedTrailers = append(exchange.announcedTrailers, name)
+	}
 	remainder := newClientBody(r, control, headerReadAt, exchange.service.maxBodyBytes, &f.metrics.uploads.bytes)
 	prefix := newBodyPrefix(remainder, r.ContentLength, held)
 	complete, err := false, error(nil)
@@ -407,9 +410,6 @@
 		f.metrics.uploads.recordEnd(clientBodyCause(err), r.Header.Get(idHeader), err)
 		return uploadStatus(err), fmt.Errorf("body: %w", err)
 	}
-	for name := range r.Trailer {
-		exchange.announcedTrailers = append(exchange.announcedTrailers, name)
-	}
 	if complete {
 		exchange.completeAt = remainder.arrival.lastByteTime()
 		exchange.body, exchange.trailer, exchange.reservedMemory = prefix.held, forwardableTrailers(r.Trailer), f.metrics.bodyBudget.shrink(memory, len(prefix.held))
