gateway: an upgrade hands over its state under a long $TMPDIR too

Cause: the path of a Unix socket may have 107 bytes. Under a $TMPDIR of over some 85 the socket could not be made, and a new process started without state beside the old one.

Change: under a long path the folder is opened, and the socket made and dialled by the path of its descriptor.

Result: TestHandoverUnderLongPath failed before (bind: invalid argument) and passes. Where /proc is not there, it is as before.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,6 +21,7 @@
 
 const (
 	handoverSocketName    = "handover.sock"
+	maxSocketDirBytes     = 80              // a socket's path may have 107 bytes, the name and a process number included
 	joinTimeout           = 2 * time.Second // for receiving the state; the platform waits 6 s for a new process
 	joinRetryInterval     = 20 * time.Millisecond
 	successorTimeout      = 6 * time.Second        // for a successor to serve; the platform waits no longer
@@ -182,11 +183,26 @@
 	}
 }
 
+// shortPath returns a path of a directory under which a socket may have its path, of at most
+// maxSocketDirBytes. It is valid until release is called. A path that can't be shortened is returned as it is.
+func shortPath(dir string) (path string, release func()) {
+	if len(dir) <= maxSocketDirBytes {
+		return dir, func() {}
+	}
+	file, err := os.Open(dir)
+	if err != nil {
+		return dir, func() {}
+	}
+	return fmt.Sprintf("/proc/self/fd/%d", file.Fd()), func() { file.Close() }
+}
+
 var errSilentPredecessor = errors.New("it runs but does not answer")
 
 // requestState requests the predecessor's state once. It returns nil without an error if nobody
 // listens on the socket.
 func (h *handover) requestState(ctx context.Context, dir string) (*snapshot, error) {
+	dir, release := shortPath(dir)
+	defer release()
 	conn, err := new(net.Dialer).DialContext(ctx, "unix", filepath.Join(dir, handoverSocketName))
 	if err != nil {
 		return nil, nil // a process that was killed may have left its socket file
@@ -314,6 +330,8 @@
 	case <-ctx.Done():
 		return nil
 	}
+	dir, release := shortPath(dir)
+	defer release()
 	path := filepath.Join(dir, handoverSocketName+"."+strconv.Itoa(os.Getpid()))
 	os.Remove(path)
 	listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -194,7 +194,7 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(&logged, nil)))
 	t.Cleanup(func() { slog.SetDefault(previous) })
 	listener, dir := newSharedListener(t)
-	gateway := newTestGatewayOn(t, listener, filepath.Join(dir, strings.Repeat("x", 120)), newTestServer(t)) // longer than the path of a socket may be
+	gateway := newTestGatewayOn(t, listener, filepath.Join(dir, strings.Repeat("x", 120)), newTestServer(t)) // a folder that is not there
 	gateway.stop()
 	if err := wait(t, gateway.ended, "end"); err != nil {
 		t.Error(err)
@@ -204,6 +204,26 @@
 	}
 }
 
+// Guards against an upgrade without state where the path of the hand-over socket is longer than the path of a
+// socket may be.
+func TestHandoverUnderLongPath(t *testing.T) {
+	t.Parallel()
+	backend := newTestServer(t)
+	listener, dir := newSharedListener(t)
+	dir = filepath.Join(dir, strings.Repeat("x", 120))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	old := newTestGatewayOn(t, listener, dir, backend)
+	path := "/control/backends/" + backend.address() + "/offline"
+	if status, _ := old.callControl(t, "POST", path); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	awaitHandoverSocket(t, dir)
+	next := newTestGatewayOn(t, listener, dir, backend)
+	next.awaitMetrics(t, "app.skipped_backends:1|g") // told with the state
+}
+
 // A successor that got the state and then stalls must delay neither operator overrides nor the
 // shutdown of the old process.
 func TestStalledSuccessorBlocksNothing(t *testing.T) {
