gateway: the time that a request waits unread counts for its client

Cause: a request counted from the moment in which it was read. It may have waited long before that: in the accept queue, or in the socket while the process did not run.

Change: after a read the system is asked when the last data on the connection arrived (tcpi_last_data_recv), without an allocation. Where that is not known, the time of the read counts as before.

Result: TestRequestThatWaitedUnreadHasLessTime failed before (200 ms late in the accept queue and in the socket) and passes.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -38,6 +38,8 @@
 	running  chan struct{} // closed when the read-ahead goroutine has ended; nil if there is none
 	stopped  bool          // nothing more is read from the connection
 
+	arrival arrivalProbe
+
 	memory     *reservation // of maxReadAhead bytes, for more than uncountedBytes
 	discarded  func([]byte) // called with the bytes that are discarded, in order
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
@@ -84,7 +86,7 @@
 	}
 	n, err = a.Conn.Read(p)
 	a.recordEnd(err)
-	return n, time.Now(), err
+	return n, a.arrival.lastArrival(a.Conn), err
 }
 
 // recordEnd records an error that ends the connection. A timeout does not.
@@ -122,7 +124,7 @@
 		n, err := a.Conn.Read(buffer[:min(len(buffer), limit-len(a.buffered))])
 		a.buffered = append(a.buffered, buffer[:n]...)
 		if n > 0 {
-			a.bufferedAt = time.Now()
+			a.bufferedAt = a.arrival.lastArrival(a.Conn)
 		}
 		a.bufferedBytes.Store(int64(len(a.buffered)))
 		if err != nil {
