Soaks judge times by the arrival at the socket; a stray connection no longer counts as the reader's

Cause: the referee was wrong, not the gateway. It noted the time of an attempt or an answer when a goroutine of the test process came to run, the time of a request before its last write, and the time of a close before the close. Beside clients at full speed in the same process these notes were up to a second off. Now the system's own time of the last data on the connection counts (tcpi_last_data_recv), and the times of the client are noted after the write and after the close; attempts are judged once both are known. The bounds are unchanged.

TestSlopes, known red (scoped_watch_wire measured 0 bytes). Cause: it counted the bytes of the first connection that the listener accepted on 127.0.0.1. Now the bytes of all connections but the writer's count, on a random loopback host, and the two measurements share one function.

--- a/cmd/gateway/abandoned_requests_test.go
+++ b/cmd/gateway/abandoned_requests_test.go
@@ -57,8 +57,8 @@
 					checker.requestSent(id, "safe", 5*time.Second)
 					go io.WriteString(conn, text(id))
 					time.Sleep(patience)
-					checker.clientDisconnected(id)
 					conn.Close()
+					checker.clientDisconnected(id)
 				})
 			}
 			leaving.Wait()
--- a/cmd/gateway/client_test.go
+++ b/cmd/gateway/client_test.go
@@ -136,13 +136,11 @@
 			}
 		}
 	}
-	if c.writesInPieces {
-		c.checker.requestWritten(id, timeout) // before a server can receive it
-	}
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		c.close()
 		return endUnread
 	}
+	c.checker.requestWritten(id, timeout)
 	if c.oftenDisconnects && c.random.IntN(2) == 0 {
 		return c.disconnect(id)
 	}
@@ -153,8 +151,8 @@
 func (c *client) disconnect(id string) requestEnd {
 	c.conn.SetReadDeadline(time.Now().Add(time.Duration(c.random.IntN(300)) * time.Millisecond))
 	if _, err := c.reader.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
-		c.checker.clientDisconnected(id)
 		c.close()
+		c.checker.clientDisconnected(id)
 		return endDisconnected
 	}
 	return c.receive(id, time.Minute)
@@ -187,7 +185,7 @@
 		c.close()
 		return endLost
 	}
-	c.checker.answerReceived(id, resp.StatusCode, string(body))
+	c.checker.answerReceived(id, resp.StatusCode, string(body), lastDataReceived(c.conn))
 	if c.served++; resp.Close {
 		c.close()
 	}
--- a/cmd/gateway/judge_test.go
+++ b/cmd/gateway/judge_test.go
@@ -31,10 +31,17 @@
 type checkedRequest struct {
 	id, class      string
 	due            time.Time // the client's deadline
-	disconnectedAt time.Time // zero: the client did not disconnect
-	attempts       int       // complete ones
-	mayHaveRun     bool      // one of them may have taken effect
-	history        []string  // for the report of a violation
+	disconnectedAt time.Time // by then the client had disconnected; zero: it did not
+	attempts       []checkedAttempt
+	mayHaveRun     bool     // one of them may have taken effect
+	history        []string // for the report of a violation
+}
+
+// checkedAttempt is an attempt that a server has read completely.
+type checkedAttempt struct {
+	server    string
+	arrivedAt time.Time
+	left      time.Duration // that the server was told
 }
 
 func newRequestChecker() *requestChecker {
@@ -59,7 +66,7 @@
 	c.requests[id] = request
 }
 
-// requestWritten restarts the timeout of a request that was written slowly.
+// requestWritten starts the timeout of a request, whose last byte has just been written.
 func (c *requestChecker) requestWritten(id string, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,8 +75,9 @@
 	request.addEvent("completely written")
 }
 
-// attemptReceived checks an attempt that a server has read completely.
-func (c *requestChecker) attemptReceived(id, server string, left time.Duration, mayHaveRun bool) {
+// attemptReceived checks an attempt that a server has read completely, and whose last byte has arrived
+// at the given time.
+func (c *requestChecker) attemptReceived(id string, attempt checkedAttempt, mayHaveRun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	request := c.requests[id]
@@ -77,24 +85,27 @@
 		return
 	}
 	if request == nil {
-		c.violations = append(c.violations, "server "+server+" received "+id+", which no client sent")
+		c.violations = append(c.violations, "server "+attempt.server+" received "+id+", which no client sent")
 		return
 	}
-	now := time.Now()
-	request.addEvent("attempt at %s, %v left", server, left)
-	if request.attempts++; request.class == "unsafe" && request.mayHaveRun {
+	request.addEvent("attempt at %s, %v left, arrived %v ago", attempt.server, attempt.left, time.Since(attempt.arrivedAt))
+	if request.attempts = append(request.attempts, attempt); request.class == "unsafe" && request.mayHaveRun {
 		c.addViolation(request, "an unsafe request was retried although it may have run")
 	}
 	request.mayHaveRun = request.mayHaveRun || mayHaveRun
-	if !request.disconnectedAt.IsZero() && now.Sub(request.disconnectedAt) > disconnectTolerance+transferTolerance {
-		c.addViolation(request, "an attempt started %v after its client disconnected", now.Sub(request.disconnectedAt))
+}
+
+// checkTimes checks the times of an attempt once those of the client are known.
+func (c *requestChecker) checkTimes(request *checkedRequest, attempt checkedAttempt) {
+	if late := attempt.arrivedAt.Sub(request.disconnectedAt); !request.disconnectedAt.IsZero() && late > disconnectTolerance+transferTolerance {
+		c.addViolation(request, "an attempt arrived at %s %v after its client disconnected", attempt.server, late)
 	}
-	if maxLeft := request.due.Sub(now) + timeLeftTolerance + transferTolerance; left > maxLeft {
-		c.addViolation(request, "the server received a time left of %v, the client has %v", left, request.due.Sub(now))
+	if remaining := request.due.Sub(attempt.arrivedAt); attempt.left > remaining+timeLeftTolerance+transferTolerance {
+		c.addViolation(request, "server %s received a time left of %v, the client has %v", attempt.server, attempt.left, remaining)
 	}
 }
 
-// clientDisconnected records that the client of a request has closed its connection.
+// clientDisconnected records that the client of a request has just closed its connection.
 func (c *requestChecker) clientDisconnected(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,22 +114,22 @@
 	request.addEvent("client disconnected")
 }
 
-// answerReceived checks a complete answer.
-func (c *requestChecker) answerReceived(id string, status int, body string) {
+// answerReceived checks a complete answer, whose last byte has arrived at the given time.
+func (c *requestChecker) answerReceived(id string, status int, body string, arrivedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	request := c.requests[id]
-	request.addEvent("answered %d", status)
+	request.addEvent("answered %d, arrived %v ago", status, time.Since(arrivedAt))
 	c.statuses[status]++
 	switch {
 	case status == http.StatusOK && body != "answer to "+id && body != "answer to "+id+longAnswer:
 		c.addViolation(request, "served with %d bytes, %.40q", len(body), body)
-	case status == http.StatusOK && request.attempts == 0:
+	case status == http.StatusOK && len(request.attempts) == 0:
 		c.addViolation(request, "served although no server received it")
 	case (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) && request.class == "unsafe" && request.mayHaveRun:
 		c.addViolation(request, "refused although it may have run")
 	}
-	if late := time.Since(request.due); late > lateAnswerTolerance+transferTolerance {
+	if late := arrivedAt.Sub(request.due); late > lateAnswerTolerance+transferTolerance {
 		c.addViolation(request, "answered %v after its deadline", late)
 	}
 }
@@ -163,5 +174,11 @@
 func (c *requestChecker) result() (violations []string, summary string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, request := range c.requests {
+		for _, attempt := range request.attempts {
+			c.checkTimes(request, attempt)
+		}
+		request.attempts = nil // checked
+	}
 	return c.violations, fmt.Sprintf("%d requests, answers %v, %d unread, %d lost by a kill", len(c.requests), c.statuses, c.unreadCount, c.excusedCount)
 }
--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -267,10 +267,17 @@
 
 func newServer(name string, checker *requestChecker) *server {
 	s := &server{name: name, checker: checker, draw: func() (serverBehaviour, time.Duration) { return answers, 0 }}
-	s.http = httptest.NewServer(s)
+	s.http = httptest.NewUnstartedServer(s)
+	s.http.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
+	s.http.Start()
 	return s
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
 // behave sets the function that draws the behaviour, and a delay for it.
 func (s *server) behave(draw func() (serverBehaviour, time.Duration)) {
 	s.mu.Lock()
@@ -287,7 +294,8 @@
 	}
 	id := r.Header.Get("X-Correlation-Id")
 	left, _ := strconv.Atoi(r.Header.Get("X-Time-Left-Ms"))
-	s.checker.attemptReceived(id, s.name, time.Duration(left)*time.Millisecond, how != fails && how != failsLate)
+	arrivedAt := lastDataReceived(r.Context().Value(connectionKey{}).(net.Conn))
+	s.checker.attemptReceived(id, checkedAttempt{s.name, arrivedAt, time.Duration(left) * time.Millisecond}, how != fails && how != failsLate)
 	wait := func(d time.Duration) {
 		select {
 		case <-time.After(d):
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -25,6 +25,7 @@
 	"dunlintray/internal/capacity"
 	"dunlintray/internal/ledger"
 	"dunlintray/internal/registry"
+	"dunlintray/internal/testnet"
 	"dunlintray/internal/wire"
 	"dunlintray/rules"
 )
@@ -909,36 +910,61 @@
 	return n, err
 }
 
-// countingListener counts the bytes that pass the first connection.
+// countingListener counts the bytes that pass each connection, by the address of its client.
 type countingListener struct {
 	net.Listener
-	accepted atomic.Int64
-	bytes    atomic.Int64
+	mu    sync.Mutex
+	bytes map[string]*atomic.Int64
+}
+
+func newCountingListener(t testing.TB) *countingListener {
+	return &countingListener{Listener: testnet.Listener(t), bytes: map[string]*atomic.Int64{}}
 }
 
 func (l *countingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil && l.accepted.Add(1) == 1 {
-		return countingConn{conn, &l.bytes}, nil
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	count := &atomic.Int64{}
+	l.mu.Lock()
+	l.bytes[conn.RemoteAddr().String()] = count
+	l.mu.Unlock()
+	return countingConn{conn, count}, nil
+}
+
+// bytesWithout returns the bytes of all connections but one.
+func (l *countingListener) bytesWithout(excluded net.Addr) (total int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, count := range l.bytes {
+		if address != excluded.String() {
+			total += count.Load()
+		}
+	}
+	return total
 }
 
 // watchWire returns the bytes on the wire of a watch call of the client with one change.
 func watchWire(t testing.TB, instances int) float64 {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	counted := &countingListener{Listener: inner}
+	counted := newCountingListener(t)
 	s := newServiceOn(t, counted, instances, 10)
 	defer s.close()
+	return bytesPerWatch(t, s, counted, nil, func(writer net.Conn, started int64) { change(t, writer, 0, started) })
+}
+
+// bytesPerWatch returns the bytes on the wire, both ways, of a watch call of a client with the given
+// scopes, for each change of the list.
+func bytesPerWatch(t testing.TB, s *service, counted *countingListener, scopes []registry.Scope, change func(writer net.Conn, started int64)) float64 {
 	updated := make(chan struct{}, 1)
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	client := registry.NewClient([]string{s.address}, random(), func(registry.Update) { updated <- struct{}{} })
+	if scopes != nil {
+		client.SetScopes(scopes)
+	}
 	wg.Go(func() { client.Run(ctx, nil) })
 	<-updated
 	writer := dial(t, s.address)
@@ -947,13 +973,13 @@
 	var before int64
 	for n := range rounds + 1 {
 		if n == 1 {
-			before = counted.bytes.Load()
+			before = counted.bytesWithout(writer.LocalAddr())
 		}
-		change(t, writer, 0, int64(n+2))
+		change(writer, int64(n+2))
 		<-updated
 	}
 	// The next request of the client may already be counted.
-	return float64(counted.bytes.Load()-before) / rounds
+	return float64(counted.bytesWithout(writer.LocalAddr())-before) / rounds
 }
 
 // readerTime returns the processor time of a watch call at the client, whose service is a loop that
--- a/internal/capacity/scoped_test.go
+++ b/internal/capacity/scoped_test.go
@@ -1,13 +1,11 @@
 package capacity_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"runtime"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -254,34 +252,9 @@
 // scopedWatchWire returns the bytes on the wire of a watch call of a client with scopes and one
 // change.
 func scopedWatchWire(t testing.TB, scopes int) float64 {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	counted := &countingListener{Listener: inner}
+	counted := newCountingListener(t)
 	services := max(scopes, 100)
 	s := newServiceOf(t, counted, scopedStore(t, services, services, 20_000), 10)
 	defer s.close()
-	updated := make(chan struct{}, 1)
-	ctx, stop := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer stop()
-	client := registry.NewClient([]string{s.address}, random(), func(registry.Update) { updated <- struct{}{} })
-	client.SetScopes(scopesOf(scopes))
-	wg.Go(func() { client.Run(ctx, nil) })
-	<-updated
-	writer := dial(t, s.address)
-	defer writer.Close()
-	const rounds = 10
-	var before int64
-	for n := range rounds + 1 {
-		if n == 1 {
-			before = counted.bytes.Load()
-		}
-		changeScoped(t, writer, 0, services, int64(n+2))
-		<-updated
-	}
-	// The next request of the client may already be counted.
-	return float64(counted.bytes.Load()-before) / rounds
+	return bytesPerWatch(t, s, counted, scopesOf(scopes), func(writer net.Conn, started int64) { changeScoped(t, writer, 0, services, started) })
 }
