rules: a reply names its call of the counter; a restart behind a stepped clock is cold

Replies: a call that fails at once, in a full lane or at its write, was taken for the oldest call of its name, whose units were then wrong. Each Count has a number now, and its reply repeats it; a driver without numbers answers in order, as before. TestReplyIsThatOfItsCall fails without the number.

Slow start: after a step back of the wall clock, a server's second start was told earlier than its first one, or looked old, so its slow start was left out or shortened. Now a start that was never reported before is a restart, also an earlier one, and while its server was listed and discovery answered it is at most 6 s old, the time within which a change counts as told. An older list that is seen again tells of no restart. TestRestartAfterAStepBackIsCold failed before at steps of 50 s and of an hour.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -35,6 +35,7 @@
 
 // counterCall adds an amount to a total on the counter. The loop owns sent and ended.
 type counterCall struct {
+	number uint64 // given by the decision module
 	name   uint64 // of the total
 	amount float64
 	ttl    time.Duration // of the total
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -644,7 +644,7 @@
 
 // callCounter starts a counter call for the decision module.
 func (l *Loop) callCounter(action rules.Count) {
-	call := &counterCall{name: action.Name, amount: action.Amount, sent: l.clock.now(),
+	call := &counterCall{number: action.Call, name: action.Name, amount: action.Amount, sent: l.clock.now(),
 		ttl: min(max(time.Duration(action.TTL*float64(time.Second)), minTTL), maxTTL)}
 	call.report = func(call *counterCall, outcome rules.Outcome, total float64) {
 		l.post(counterCallDone{call, outcome, total})
@@ -665,7 +665,7 @@
 	call.ended = true
 	l.timers.remove(call.timer)
 	l.contact.recordCall(outcome)
-	l.handle(rules.CounterReply{Name: call.name, Outcome: outcome, Total: total, Took: l.clock.now() - call.sent})
+	l.handle(rules.CounterReply{Call: call.number, Name: call.name, Outcome: outcome, Total: total, Took: l.clock.now() - call.sent})
 }
 
 // checkBodyTime ends a request whose client has probably sent its whole body and waited for as
--- a/rules/backends.go
+++ b/rules/backends.go
@@ -2,7 +2,10 @@
 
 // What the gateway knows of its backends: the list from discovery, operator overrides, and their health.
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // Parameters of the health of backends. Durations are in seconds. Each value holds for any deployment.
 const (
@@ -27,29 +30,45 @@
 		// All gateways fail together: without a randomized backoff their requests would keep discovery down.
 		g.discoveryBackoff = min(max(2*g.discoveryBackoff, initialDiscoveryBackoff), maxDiscoveryBackoff)
 		g.setTimer(g.discoveryBackoff*(0.5+1.5*g.rng.Float64()), timerDiscoveryRetry, 0, 0)
+		g.discoveryFailedAt = cmp.Or(g.discoveryFailedAt, g.now)
 		return
 	}
-	if g.discoveryBackoff = 0; update.Kind != Delta {
-		for _, backend := range g.backendList {
-			backend.State = Gone
-		}
-	}
+	g.discoveryBackoff = 0
+	g.listUpdates++
 	for _, entry := range update.Entries {
 		known := g.backendByID[entry.ID] != nil
 		backend := g.ensureBackend(entry)
-		if !known || entry.StartedAt > backend.StartedAt {
-			g.resetColdStart(backend, g.localStartTime(entry)) // the backend has restarted
-		} else {
+		restarted := backend.hasRestarted(entry)
+		backend.recordReportedStart(entry)
+		switch {
+		case !known:
+			g.resetColdStart(backend, g.localStartTime(entry))
+		case restarted:
+			g.resetColdStart(backend, g.localRestartTime(backend, entry))
+		default:
 			entry.StartedAt = backend.StartedAt
 		}
-		backend.Backend = entry
+		backend.Backend, backend.listUpdate = entry, g.listUpdates
+	}
+	if update.Kind != Delta {
+		g.markUnlisted()
 	}
+	g.discoveryFailedAt = 0
 	g.listReceived = g.listReceived || update.Kind != CachedList
 	if g.concurrencyLimit == 0 && len(g.backendList) > 0 {
 		g.concurrencyLimit = initialLimit * g.backendsPerGateway()
 	}
 }
 
+// markUnlisted marks the backends that a full list does not have as gone.
+func (g *Gateway) markUnlisted() {
+	for _, backend := range g.backendList {
+		if backend.listUpdate != g.listUpdates {
+			backend.State = Gone
+		}
+	}
+}
+
 // usable reports whether the backend may get attempts at all.
 func (s *backendStatus) usable() bool { return s.State == Ready && !s.offline }
 
--- a/rules/counter_test.go
+++ b/rules/counter_test.go
@@ -173,3 +173,18 @@
 	}
 	onlyAction[Send](t, harness.handle(CounterReply{Name: call.Name, Total: call.Amount}))
 }
+
+// A reply that names its call must not be taken for that of an older call for the same name: a call that
+// fails at once, before the older one has its answer, changes nothing of that.
+func TestReplyIsThatOfItsCall(t *testing.T) {
+	harness := newHarness(t, testSettings(), readyBackends(4)...)
+	first := onlyAction[Count](t, harness.handle(Request{ID: 1, Units: 1, GatewayCount: 2, Customer: 5, Deadline: harness.now + 2}))
+	quota := harness.gateway.customers[5]
+	harness.gateway.callCounter(counterCall{customer: quota, name: first.Name, window: quota.window, spentUnits: 3}, counterTTL)
+	second := harness.gateway.lastCall
+	actions := harness.handle(CounterReply{Call: second, Name: first.Name, Outcome: Full})
+	if len(actionsOf[Refuse](actions)) != 0 || quota.unitCalls != 1 || quota.unreportedUnits != 3 {
+		t.Errorf("a call that failed at once: %v, %d lease calls out, %v units to report, want 1 and 3", actions, quota.unitCalls, quota.unreportedUnits)
+	}
+	onlyAction[Send](t, harness.handle(CounterReply{Call: first.Call, Name: first.Name, Total: first.Amount}))
+}
--- a/rules/leases.go
+++ b/rules/leases.go
@@ -143,7 +143,7 @@
 // handleCounterReply processes the reply to a call. A call without an answer grants nothing: its amount may
 // have been added, and the next total will show that.
 func (g *Gateway) handleCounterReply(reply CounterReply) {
-	call, ok := g.takePendingCall(reply.Name)
+	call, ok := g.takePendingCall(reply)
 	if !ok {
 		return
 	}
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -13,6 +13,10 @@
 	// maxPromptLag is the longest regular delay, in seconds, between a start and its report. If even the
 	// shortest delay seen exceeds it, the excess is an offset of the local clock.
 	maxPromptLag = 1.0
+
+	// maxReportDelay is the longest time, in seconds, that discovery takes to report a change while it
+	// answers.
+	maxReportDelay = 6.0
 )
 
 // localStartTime returns the start of a backend on this gateway's clock, or 0 if it was long ago.
@@ -39,6 +43,34 @@
 	return min(entry.StartedAt+step, g.now)
 }
 
+// localRestartTime returns the start of a known backend that has restarted, on this gateway's clock. The
+// wall clock may have been stepped back since other starts, which makes a new start look old. But while the
+// backend was listed and discovery answered, the start can only be as old as the report may be late.
+func (g *Gateway) localRestartTime(backend *backendStatus, entry Backend) float64 {
+	started := g.localStartTime(entry)
+	if backend.State == Gone {
+		return started
+	}
+	return max(started, cmp.Or(g.discoveryFailedAt, g.now)-maxReportDelay)
+}
+
+// hasRestarted reports whether an entry tells of a start that is not known yet. It is later than the last
+// one, or earlier if the wall clock was stepped back. A start that was reported before the last one comes
+// from an older list.
+func (s *backendStatus) hasRestarted(entry Backend) bool {
+	if entry.StartedAt == 0 || entry.StartedAt == s.previousStart {
+		return false
+	}
+	return entry.StartedAt > s.StartedAt || entry.StartedAt < s.reportedStart
+}
+
+// recordReportedStart remembers the start that an entry reports.
+func (s *backendStatus) recordReportedStart(entry Backend) {
+	if reported := entry.StartedAt; reported > 0 && reported != s.reportedStart {
+		s.previousStart, s.reportedStart = s.reportedStart, reported
+	}
+}
+
 // capacityFraction returns the fraction of its capacity that a backend has reached in its slow start; 1
 // once it is warm.
 func (g *Gateway) capacityFraction(backend *backendStatus) float64 {
--- a/rules/slow_start_test.go
+++ b/rules/slow_start_test.go
@@ -43,3 +43,51 @@
 		}
 	}
 }
+
+// A listed backend that restarts after the wall clock was stepped back reports an earlier start than before,
+// or one that looks old. It is cold all the same, for ColdDuration and once: an older list that is seen again
+// tells of no restart.
+func TestRestartAfterAStepBackIsCold(t *testing.T) {
+	const (
+		uptime = 100.0
+		delay  = 0.3 // from the start to its report
+	)
+	for _, step := range []float64{0, -5, -50, -3600} {
+		harness := newHarness(t, testSettings(), readyBackends(4)...)
+		harness.now += 5000
+		first, second, other := readyBackend(9), readyBackend(9), readyBackend(8)
+		first.StartedAt, other.StartedAt = harness.now-delay, harness.now-delay
+		harness.handle(Backends{Kind: FullList, Entries: append(readyBackends(4), first)})
+		harness.handle(Backends{Kind: Delta, Entries: []Backend{other}})
+		harness.now += uptime
+		second.StartedAt = harness.now + step - delay
+		harness.handle(Backends{Kind: Delta, Entries: []Backend{second}})
+		backend := harness.gateway.backendByID[9]
+		if age := harness.now - backend.coldSince; backend.coldSince == 0 || age > maxReportDelay {
+			t.Errorf("step %v: the restart counts as %v s old", step, age)
+		}
+		harness.now += harness.gateway.settings.ColdDuration
+		for _, entry := range []Backend{second, first, second} {
+			harness.handle(Backends{Kind: Delta, Entries: []Backend{entry}})
+			if fraction := harness.gateway.capacityFraction(backend); fraction < 1 {
+				t.Errorf("step %v: capacity fraction %.2f after the slow start, want 1", step, fraction)
+			}
+		}
+	}
+}
+
+// A restart during an outage of discovery may be as old as the outage.
+func TestRestartDuringAnOutageMayBeOld(t *testing.T) {
+	const outage = 60.0
+	harness := newHarness(t, testSettings(), readyBackends(4)...)
+	harness.now += 5000
+	restarted := readyBackend(2)
+	harness.handle(Backends{Kind: ListFailed})
+	restarted.StartedAt = harness.now + 1
+	harness.now += outage
+	harness.handle(Backends{Kind: ListFailed})
+	harness.handle(Backends{Kind: Delta, Entries: []Backend{restarted}})
+	if since := harness.gateway.backendByID[2].coldSince; since != restarted.StartedAt {
+		t.Errorf("the start counts as %v, want %v", since, restarted.StartedAt)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -24,6 +24,7 @@
 	customers       map[CustomerID]*customerQuota
 	customerList    []*customerQuota         // the same, in order of the first request
 	pendingCalls    map[uint64][]counterCall // by counter name, in order
+	lastCall        uint64                   // number of the last call of the counter
 	startedAt       float64
 	presentGateways []bool  // by rank; empty if membership is unknown
 	presentCount    int     // 0 if membership is unknown
@@ -44,6 +45,8 @@
 	lastHousekeeping                   float64
 	discoveryBackoff                   float64          // delay after a discovery failure
 	listReceived                       bool             // an update other than the cached list has been received
+	listUpdates                        uint64           // from discovery
+	discoveryFailedAt                  float64          // time of the first failure since the last update; 0: none
 	minStartLag                        float64          // shortest delay between the start of a backend and its report
 	clientTimeouts                     []clientTimeout  // by class and plan
 	arrivalRates, arrivalCounts        []float64        // by level: per second, and since lastHousekeeping
@@ -142,6 +145,9 @@
 	trialAt, trialInterval   float64 // time of the next trial while ejected, and the delay of the one after
 	coldBudget, coldBudgetAt float64 // attempts that it may get while cold, and time of that value
 	coldSince                float64 // time of its last start, on this gateway's clock; 0 if long ago
+	listUpdate               uint64  // number of the last update from discovery that had an entry of it
+	reportedStart            float64 // StartedAt as discovery reported it last, on the wall clock
+	previousStart            float64 // as reported before that
 }
 
 // activeRequest returns a request that has no final answer yet, or nil.
@@ -208,33 +214,6 @@
 	slotCallAfter   float64 // no call for slots before then
 }
 
-// counterCall is one Count that awaits its reply.
-type counterCall struct {
-	customer     *customerQuota
-	name         uint64
-	window       float64
-	fullTotal    float64 // total at which the bucket is full
-	spentUnits   float64 // units spent from the local allowance
-	adjustment   float64 // unused refill to write off, or slots to report (positive) or return (negative)
-	requested    float64 // units or slots requested
-	returned     float64 // idle units returned
-	forSlots     bool    // the call concerns slots, not units
-	alreadyAdded bool    // an earlier call has added the amount, or may have, without a known total
-	corrects     bool    // the call corrects the total
-	baseTotal    float64 // total before the correction
-}
-
-// trackCall adds change to the numbers of calls in flight.
-func (q *customerQuota) trackCall(call counterCall, change int) {
-	q.callsInFlight += change
-	switch {
-	case call.requested > 0 && call.forSlots:
-		q.slotCalls += change
-	case call.requested > 0:
-		q.unitCalls += change
-	}
-}
-
 // windowPhase returns an offset, as a fraction of a window, that differs between customers.
 func (q *customerQuota) windowPhase() float64 { return float64(hash(uint64(q.id))%1024) / 1024 }
 
@@ -400,27 +379,3 @@
 		return unused
 	})
 }
-
-// callCounter makes a call. Replies for one name arrive in the order of the calls.
-func (g *Gateway) callCounter(call counterCall, ttl float64) {
-	g.pendingCalls[call.name] = append(g.pendingCalls[call.name], call)
-	call.customer.trackCall(call, 1)
-	amount := call.spentUnits + call.adjustment + call.requested - call.returned
-	if call.alreadyAdded {
-		amount = 0
-	}
-	g.emit(Count{Name: call.name, Amount: amount, TTL: ttl})
-}
-
-// takePendingCall removes and returns the oldest pending call for a name.
-func (g *Gateway) takePendingCall(name uint64) (call counterCall, ok bool) {
-	pending := g.pendingCalls[name]
-	if len(pending) == 0 {
-		return call, false
-	}
-	if call, g.pendingCalls[name] = pending[0], pending[1:]; len(pending) == 1 {
-		delete(g.pendingCalls, name)
-	}
-	call.customer.trackCall(call, -1)
-	return call, true
-}
--- a/rules/types.go
+++ b/rules/types.go
@@ -254,6 +254,7 @@
 // the total is unknown. With Full and ConnectFailed nothing was added; with TimedOut and Broken the amount
 // may have been added.
 type CounterReply struct {
+	Call    uint64 // of the Count; 0: the oldest one for the name that has no reply
 	Name    uint64
 	Outcome Outcome
 	Total   float64
@@ -416,6 +417,7 @@
 // Count adds Amount to a total on the shared counter and asks for the new total in a CounterReply. A total
 // starts at 0 with its first Count; the counter deletes it after TTL.
 type Count struct {
+	Call   uint64  // number of the call, from 1
 	Name   uint64  // of the total
 	Amount float64 // units or slots; may be negative
 	TTL    float64
