rules: a customer that was dropped returns with the local allowance that it had

Cause: the table of customers drops those that are idle for longest, and a customer that is new to it has had its local allowance since the start. So one that was dropped and came back while the counter did not answer had a full one each time, also under a ceiling. Change: a customer that is dropped with less leaves behind when its allowance was empty, and later ones grow from the latest such time; an upgrade hands it over.

--- a/rules/customers.go
+++ b/rules/customers.go
@@ -23,7 +23,7 @@
 		g.expireLease(quota)
 		g.returnIdleSlots(quota)
 		if g.now-quota.lastSeen > customerIdleTimeout && quota.evictable() {
-			delete(g.customers, quota.id)
+			g.forgetCustomer(quota)
 			continue
 		}
 		kept = append(kept, quota)
@@ -54,7 +54,27 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b *customerQuota) int { return cmp.Compare(a.lastSeen, b.lastSeen) })
 	for _, quota := range candidates[:min(count, len(candidates))] {
-		delete(g.customers, quota.id)
+		g.forgetCustomer(quota)
 	}
 	g.customerList = slices.DeleteFunc(g.customerList, func(quota *customerQuota) bool { return g.customers[quota.id] != quota })
 }
+
+// forgetCustomer drops the state of a customer. It may come back, and must not have more of its local
+// allowance then than it has now. Which customers were dropped is not known any more, so the limit holds for
+// every one that is new from now on.
+func (g *Gateway) forgetCustomer(quota *customerQuota) {
+	delete(g.customers, quota.id)
+	if emptyAt, full := quota.allowanceEmptyAt(g.now); !full {
+		g.allowancesEmptyAt = max(g.allowancesEmptyAt, emptyAt)
+	}
+}
+
+// allowanceEmptyAt returns the time at which the local allowance would have been empty if nothing had been
+// spent since, and whether it is full now.
+func (q *customerQuota) allowanceEmptyAt(now float64) (emptyAt float64, full bool) {
+	if q.terms.localRate <= 0 {
+		return 0, true // there is none, or it does not grow back
+	}
+	emptyAt = q.localUnitsAt - q.localUnits/q.terms.localRate
+	return emptyAt, now-emptyAt >= q.terms.localBurst/q.terms.localRate
+}
--- a/rules/quota.go
+++ b/rules/quota.go
@@ -96,12 +96,13 @@
 func (g *Gateway) customerFor(received Request) *customerQuota {
 	quota := g.customers[received.Customer]
 	if quota == nil {
-		quota = &customerQuota{id: received.Customer, localUnitsAt: g.startedAt, window: -1, lastSeen: g.now}
+		quota = &customerQuota{id: received.Customer, window: -1, lastSeen: g.now,
+			localUnitsAt: max(g.startedAt, g.allowancesEmptyAt)}
 		g.customers[received.Customer] = quota
 		g.customerList = append(g.customerList, quota)
 		// A restarted gateway may have spent its local allowance before. Under a ceiling the allowance
-		// starts empty; elsewhere a full one costs little.
-		if plan := g.settings.Plans[received.Plan]; plan.CeilingRate <= 0 {
+		// starts empty; elsewhere a full one costs little, unless the customer may have been dropped.
+		if plan := g.settings.Plans[received.Plan]; plan.CeilingRate <= 0 && g.allowancesEmptyAt == 0 {
 			quota.localUnits = g.computeTerms(&plan, received.GatewayCount, 0).localBurst
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -45,6 +45,7 @@
 	lastHousekeeping                   float64
 	discoveryBackoff                   float64          // delay after a discovery failure
 	listReceived                       bool             // an update other than the cached list has been received
+	allowancesEmptyAt                  float64          // latest allowanceEmptyAt of the customers that were dropped; 0: all were full
 	listUpdates                        uint64           // from discovery
 	discoveryFailedAt                  float64          // time of the first failure since the last update; 0: none
 	minStartLag                        float64          // shortest delay between the start of a backend and its report
--- a/rules/transfer.go
+++ b/rules/transfer.go
@@ -16,7 +16,7 @@
 func (g *Gateway) exportState() {
 	snapshot := Snapshot{ConcurrencyLimit: g.concurrencyLimit, Latency: g.latency, Spread: g.spread,
 		Pressure: g.pressure, CounterFailureRate: g.counterFailureRate,
-		WarmSendRate: g.warmSendRate}
+		WarmSendRate: g.warmSendRate, AllowancesEmptyAt: g.allowancesEmptyAt}
 	for _, backend := range g.backendList {
 		backend.coldBudget /= 2
 		snapshot.Backends = append(snapshot.Backends,
@@ -55,6 +55,7 @@
 	g.concurrencyLimit, g.latency, g.spread, g.warmSendRate =
 		snapshot.ConcurrencyLimit, snapshot.Latency, snapshot.Spread, snapshot.WarmSendRate
 	g.pressure, g.counterFailureRate = snapshot.Pressure, snapshot.CounterFailureRate
+	g.allowancesEmptyAt = max(g.allowancesEmptyAt, snapshot.AllowancesEmptyAt)
 	for _, record := range snapshot.Backends {
 		backend := g.ensureBackend(record.Backend)
 		// An operator may have put it back later than the start that discovery reports.
@@ -118,6 +119,7 @@
 		record := &s.Backends[i]
 		shiftAll(offset, &record.LastServed, &record.TrialAt, &record.ColdBudgetAt, &record.ColdSince)
 	}
+	shiftAll(offset, &s.AllowancesEmptyAt)
 	for i := range s.Customers {
 		record := &s.Customers[i]
 		shiftAll(offset, &record.LastSeen, &record.Expires, &record.ExhaustedUntil, &record.BackoffUntil,
--- a/rules/types.go
+++ b/rules/types.go
@@ -312,6 +312,7 @@
 	RetryBudget        float64 // retries that the reader may make
 	Backends           []BackendRecord
 	Customers          []CustomerRecord
+	AllowancesEmptyAt  float64          `json:",omitempty"` // of customers that were dropped; 0: all were full
 	Identities         []IdentityRecord `json:",omitempty"` // oldest first
 }
 
