--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dunlintray/internal/gateway/body"
 )
 
 const (
@@ -40,7 +42,7 @@
 
 	arrival arrivalProbe
 
-	memory     *reservation // of maxReadAhead bytes, for more than uncountedBytes
+	memory     *body.Slot   // of maxReadAhead bytes, for more than body.UncountedBytes
 	discarded  func([]byte) // called with the bytes that are discarded, in order
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
 
@@ -54,10 +56,10 @@
 var errOverflowed = errors.New("too many bytes of pipelined requests")
 
 // newReadAheadConn wraps a connection. It calls discarded with the bytes that it discards; the
-// connection cannot be read any more then. A nil budget sets no limit.
-func newReadAheadConn(conn net.Conn, budget *budget, discarded func([]byte)) *readAheadConn {
+// connection cannot be read any more then. A nil account sets no limit.
+func newReadAheadConn(conn net.Conn, account *body.Account, discarded func([]byte)) *readAheadConn {
 	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), discarded: discarded,
-		memory: &reservation{budget: budget, bytes: maxReadAhead}}
+		memory: body.NewSlot(account, body.ReadAhead, maxReadAhead)}
 }
 
 // Read implements net.Conn.
@@ -113,9 +115,9 @@
 func (a *readAheadConn) run(done chan struct{}) {
 	defer close(done)
 	var buffer [1 << 10]byte
-	for limit := uncountedBytes; ; {
+	for limit := body.UncountedBytes; ; {
 		if len(a.buffered) >= limit {
-			if limit == maxReadAhead || !a.memory.acquire() {
+			if limit == maxReadAhead || !a.memory.Acquire() {
 				break
 			}
 			limit = maxReadAhead
@@ -138,7 +140,7 @@
 // dropBuffer frees the buffer, whose bytes nobody needs any more.
 func (a *readAheadConn) dropBuffer() {
 	a.buffered = nil
-	a.memory.release()
+	a.memory.Release()
 }
 
 // discard reads and discards until the end of the connection or stop.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -79,17 +80,18 @@
 	if resp.Body == http.NoBody {
 		return result{outcome: rules.Served, response: head, units: reportedUnits(resp.Header)}
 	}
-	download := &download{body: resp.Body, length: resp.ContentLength, conn: conn, window: window{budget: &p.metrics.bodyBudget}, metrics: p.metrics, done: make(chan rules.Outcome, 1)}
+	download := &download{body: resp.Body, length: resp.ContentLength, conn: conn, metrics: p.metrics, done: make(chan rules.Outcome, 1)}
 	maxStart := maxHeldBody
 	if length := resp.ContentLength; length >= 0 && length < maxHeldBody {
 		maxStart = int(length)
 	}
-	download.reservedMemory, maxStart = p.metrics.bodyBudget.reserveUpTo(maxStart)
+	download.window.Init(p.metrics.bodies, 0)
+	download.prefixMemory, maxStart = p.metrics.bodies.ReserveUpTo(body.ResponseStart, maxStart)
 	if len(resp.TransferEncoding) > 0 {
 		download.chunked = &chunkedReader{reader: conn.reader}
 		download.body = download.chunked
 	}
-	download.prefix = newBodyPrefix(download.body, resp.ContentLength, maxStart)
+	download.prefix = body.NewPrefix(download.body, resp.ContentLength, maxStart)
 	head.download = download
 	startStreaming := func() {
 		if !attempt.onStart(head) {
@@ -98,27 +100,28 @@
 	}
 	if length := resp.ContentLength; length < 0 || length > int64(conn.reader.Buffered()) {
 		defer time.AfterFunc(maxHoldTime, func() {
-			if download.prefix.release() {
+			if download.prefix.Release() {
 				startStreaming()
 			}
 		}).Stop()
 	}
-	complete, err := download.prefix.fill()
+	complete, err := download.prefix.Fill()
 	switch {
-	case download.prefix.released():
+	case download.prefix.Released():
 		// The timer has released it to the client.
 	case complete:
-		head.body, head.download, head.trailer = download.prefix.held, nil, download.trailers()
-		head.reservedMemory = p.metrics.bodyBudget.shrink(download.reservedMemory, len(head.body))
+		head.body, head.download, head.trailer = download.prefix.Held(), nil, download.trailers()
+		download.prefixMemory.Shrink(len(head.body))
+		head.memory = download.prefixMemory
 		return result{outcome: rules.Served, response: head, units: reportedUnits(resp.Header)}
 	case err != nil:
-		p.metrics.bodyBudget.release(download.reservedMemory)
+		download.prefixMemory.Release()
 		return result{outcome: errorOutcome(err), err: err}
 	default:
 		startStreaming()
 	}
 	outcome := <-download.done
-	p.metrics.bodyBudget.release(download.reservedMemory)
+	download.prefixMemory.Release()
 	return result{outcome: outcome}
 }
 
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -99,7 +100,7 @@
 
 // newTestPools returns pools with backend 1 at the address.
 func newTestPools(t testing.TB, address string) *pools {
-	pools := newPools(testTimeout, time.Minute, 8, &metrics{bodyBudget: budget{total: 4 << 20}})
+	pools := newPools(testTimeout, time.Minute, 8, &metrics{bodies: body.NewAccount(4 << 20)})
 	pools.update(1, address, 0)
 	t.Cleanup(func() { pools.remove(1) })
 	return pools
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -75,10 +77,12 @@
 			}
 			defer conn.Close()
 			request, buffer := []byte(test.request), make([]byte, 64<<10)
+			id := request[bytes.Index(request, []byte(idHeader+": "))+len(idHeader+": "):][:16]
 			_, want, _ := strings.Cut(test.response, "\r\n\r\n")
 			b.ReportAllocs()
 			b.ResetTimer()
-			for range b.N {
+			for number := range b.N {
+				hex.Encode(id, binary.BigEndian.AppendUint64(nil, uint64(number)+1<<32)) // a repeated request would be refused
 				if _, err := conn.Write(request); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/body/account_test.go
@@ -1,4 +1,4 @@
-package gateway
+package body
 
 import (
 	"context"
@@ -21,13 +21,13 @@
 	return r.granted && other.begin.Before(r.end) && other.end.After(r.end) && other.deadline.Before(r.deadline)
 }
 
-// Over random schedules the budget is never exceeded, every reservation is granted or refused
+// Over random schedules the account is never exceeded, every reservation is granted or refused
 // in time, waiting reservations are served in the order of their deadlines, and all memory is released.
-func TestBudgetOverRandomSchedules(t *testing.T) {
+func TestAccountOverRandomSchedules(t *testing.T) {
 	for seed := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
-			budget := &budget{total: 100}
+			account := NewAccount(100)
 			var mu sync.Mutex
 			var waited []waitingReservation
 			done := make(chan struct{})
@@ -37,33 +37,34 @@
 				bytes, hold := 1+random.IntN(40), time.Duration(random.IntN(3000))*time.Millisecond
 				timeout := time.Duration(1+random.IntN(4000)) * time.Millisecond
 				if random.IntN(3) == 0 { // one that does not wait
-					if budget.tryReserve(bytes) {
-						time.AfterFunc(hold, func() { budget.release(bytes) })
+					if reservation := account.TryReserve(ReadAhead, bytes); reservation != nil {
+						time.AfterFunc(hold, reservation.Release)
 					}
 				}
-				if used, peak := budget.usage(); used > budget.total || peak > budget.total {
-					t.Fatalf("seed %d: %d bytes reserved of %d, peak %d", seed, used, budget.total, peak)
+				if used, peak := account.Usage(); used > account.total || peak > account.total {
+					t.Fatalf("seed %d: %d bytes reserved of %d, peak %d", seed, used, account.total, peak)
 				}
-				free := !budget.hasWaiters() && budget.used+bytes <= budget.total
+				free := !account.HasWaiters() && account.used+bytes <= account.total
 				go func() {
 					defer func() { done <- struct{}{} }()
 					ctx, cancel := context.WithTimeout(context.Background(), timeout)
 					defer cancel()
 					start := time.Now()
-					err := budget.reserve(ctx, bytes)
-					if took := time.Since(start); took > min(budgetTimeout, timeout) || free && took > 0 {
-						t.Errorf("seed %d: reservation took %v, limit %v, memory free %t", seed, took, min(budgetTimeout, timeout), free)
+					reservation, err := account.Reserve(ctx, RequestStart, bytes)
+					if took := time.Since(start); took > min(MaxWait, timeout) || free && took > 0 {
+						t.Errorf("seed %d: reservation took %v, limit %v, memory free %t", seed, took, min(MaxWait, timeout), free)
 					}
 					if !free {
 						mu.Lock()
-						waited = append(waited, waitingReservation{begin: start, deadline: start.Add(min(budgetTimeout, timeout)), end: time.Now(), granted: err == nil})
+						waited = append(waited, waitingReservation{begin: start, deadline: start.Add(min(MaxWait, timeout)), end: time.Now(), granted: err == nil})
 						mu.Unlock()
 					}
 					if err != nil {
 						return
 					}
 					time.Sleep(hold)
-					budget.release(bytes)
+					reservation.Release()
+					reservation.Release() // gives nothing back
 				}()
 				synctest.Wait()
 			}
@@ -79,57 +80,62 @@
 					t.Errorf("seed %d: %+v was served before one with an earlier deadline", seed, reservation)
 				}
 			}
-			if budget.used != 0 || len(budget.waiters) != 0 {
-				t.Errorf("seed %d: at the end %d bytes are reserved and %d reservations wait", seed, budget.used, len(budget.waiters))
+			if account.Held() != [KindCount]int{} || account.used != 0 || len(account.waiters) != 0 {
+				t.Errorf("seed %d: at the end %v bytes are reserved and %d reservations wait", seed, account.Held(), len(account.waiters))
 			}
 		})
 	}
 }
 
 // A window grows for a body that fills it while memory is free, shrinks when reservations
-// wait, is never smaller than uncountedBytes, and releases all memory.
+// wait, is never smaller than UncountedBytes, and releases all memory.
 func TestWindowSizes(t *testing.T) {
-	shared := &budget{total: 2 * maxWindow}
-	main := window{budget: shared}
+	shared := NewAccount(2 * MaxWindow)
+	var main, other, none, prepaid Window
+	for _, window := range []*Window{&main, &other, &none} {
+		window.Init(shared, 0)
+	}
+	prepaid.Init(shared, MinWindow)
 	checkSize := func(want int) {
 		t.Helper()
-		if got := len(main.buffer()); got != want {
+		if got := len(main.Buffer()); got != want {
 			t.Errorf("window of %d bytes, want %d; %d bytes reserved", got, want, shared.used)
 		}
 	}
-	checkSize(minWindow)
-	main.recordUse(minWindow - 1)
-	checkSize(minWindow)
-	main.recordUse(minWindow)
-	checkSize(maxWindow)
-	main.release()
-	checkSize(maxWindow) // the last piece filled the buffer
-	other := window{budget: shared}
-	other.buffer()
-	other.recordUse(minWindow)
-	if len(other.buffer()) != minWindow {
+	checkSize(MinWindow)
+	main.RecordUse(MinWindow - 1)
+	checkSize(MinWindow)
+	main.RecordUse(MinWindow)
+	checkSize(MaxWindow)
+	main.Release()
+	checkSize(MaxWindow) // the last piece filled the buffer
+	other.Buffer()
+	other.RecordUse(MinWindow)
+	if len(other.Buffer()) != MinWindow {
 		t.Error("a window grew into the spare part of the budget")
 	}
-	reserved := make(chan error)
-	go func() { reserved <- shared.reserve(t.Context(), 2*maxWindow-minWindow-minWindow) }()
-	for !shared.hasWaiters() {
+	reserved := make(chan *Reservation)
+	go func() {
+		reservation, _ := shared.Reserve(t.Context(), RequestStart, 2*MaxWindow-MinWindow-MinWindow)
+		reserved <- reservation
+	}()
+	for !shared.HasWaiters() {
 		time.Sleep(time.Millisecond)
 	}
-	checkSize(minWindow)
-	if err := <-reserved; err != nil {
-		t.Error(err)
+	checkSize(MinWindow)
+	rest := <-reserved
+	if rest == nil {
+		t.Error("the reservation was refused")
 	}
-	none := window{budget: shared}
-	if len(none.buffer()) != uncountedBytes {
-		t.Errorf("without free memory the window is not of %d bytes", uncountedBytes)
+	if len(none.Buffer()) != UncountedBytes {
+		t.Errorf("without free memory the window is not of %d bytes", UncountedBytes)
 	}
-	prepaid := window{budget: shared, prepaid: minWindow}
-	if len(prepaid.buffer()) != minWindow {
-		t.Errorf("with prepaid memory the window is not of %d bytes", minWindow)
+	if len(prepaid.Buffer()) != MinWindow {
+		t.Errorf("with prepaid memory the window is not of %d bytes", MinWindow)
 	}
-	shared.release(2*maxWindow - minWindow - minWindow)
-	for _, used := range []*window{&main, &other, &none, &prepaid} {
-		used.release()
+	rest.Release()
+	for _, used := range []*Window{&main, &other, &none, &prepaid} {
+		used.Release()
 	}
 	if shared.used != 0 {
 		t.Errorf("%d bytes still reserved", shared.used)
@@ -139,23 +145,23 @@
 // The pace ends a transfer after a long pause or if the peer is too slow in total, and counts
 // only the time spent waiting for that peer.
 func TestPaceLimitsWaiting(t *testing.T) {
-	steady := pace{maxPause: 10 * time.Second, grace: 10 * time.Second, minRate: 1000}
-	if wait := steady.allowedWait(); wait != 10*time.Second {
+	steady := Pace{MaxPause: 10 * time.Second, Grace: 10 * time.Second, MinRate: 1000}
+	if wait := steady.AllowedWait(); wait != 10*time.Second {
 		t.Errorf("at the start: %v, want 10s", wait)
 	}
 	for range 9 { // a byte a second
-		steady.record(1, time.Second)
+		steady.Record(1, time.Second)
 	}
-	if wait := steady.allowedWait(); wait < time.Second || wait > 1100*time.Millisecond {
+	if wait := steady.AllowedWait(); wait < time.Second || wait > 1100*time.Millisecond {
 		t.Errorf("after 9 bytes in 9 s: %v, want 1s to 1.1s", wait)
 	}
-	steady.record(1e6, time.Second)
-	if wait := steady.allowedWait(); wait != 10*time.Second {
+	steady.Record(1e6, time.Second)
+	if wait := steady.AllowedWait(); wait != 10*time.Second {
 		t.Errorf("after 1 MB in 1 s: %v, want 10s", wait)
 	}
-	events := pace{maxPause: 10 * time.Second, grace: 10 * time.Second}
-	events.record(1, time.Hour)
-	if wait := events.allowedWait(); wait != 10*time.Second {
+	events := Pace{MaxPause: 10 * time.Second, Grace: 10 * time.Second}
+	events.Record(1, time.Hour)
+	if wait := events.AllowedWait(); wait != 10*time.Second {
 		t.Errorf("without a minimum rate: %v, want 10s", wait)
 	}
 }
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -12,9 +12,10 @@
 	"time"
 
 	"dunlintray/internal/connlimit"
+	"dunlintray/internal/gateway/body"
 )
 
-// longHeaderBytes is the memory that a header of more than uncountedBytes takes at most.
+// longHeaderBytes is the memory that a header of more than body.UncountedBytes takes at most.
 const longHeaderBytes = 48 << 10
 
 // pipelinedBatch is the number of pipelined requests that are rejected with one write.
@@ -39,7 +40,7 @@
 	closeDelimited  atomic.Bool // the end of the connection ends the response (HTTP/1.0)
 	closeOnce       sync.Once
 	unread          unreadProbe
-	longHeader      *reservation // of longHeaderBytes
+	longHeader      *body.Slot   // of longHeaderBytes
 	localAnswers    localAnswers // owned by the handler of the current request
 
 	mu          sync.Mutex
@@ -85,9 +86,9 @@
 // returns false if there is none.
 func (c *clientConn) reserveHeader() bool {
 	c.mu.Lock()
-	long := c.framing.headerBytes > uncountedBytes
+	long := c.framing.headerBytes > body.UncountedBytes
 	c.mu.Unlock()
-	return !long || c.longHeader.acquire()
+	return !long || c.longHeader.Acquire()
 }
 
 // scan scans bytes that were read and had arrived by the given time. It returns false if a header
@@ -235,7 +236,7 @@
 		c.mu.Unlock()
 	}
 	if state == connlimit.Idle {
-		c.longHeader.release()
+		c.longHeader.Release()
 	}
 	if c.enterState(state) {
 		c.Close()
@@ -426,8 +427,8 @@
 func (c *clientConn) closeNow() error {
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
-		c.readAhead.memory.close()
-		c.longHeader.close()
+		c.readAhead.memory.Close()
+		c.longHeader.Close()
 		listener := c.listener
 		listener.mu.Lock()
 		defer listener.mu.Unlock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"dunlintray/internal/connlimit"
+	"dunlintray/internal/gateway/body"
 )
 
 const (
@@ -79,8 +80,8 @@
 	closed        bool
 	drainingQueue bool // connections in the accept queue are still accepted, later ones are not
 	phase         shutdownPhase
-	budget        *budget // for pipelined requests and long headers; nil: no limit
-	sharedQueue   bool    // other processes accept from the same queue
+	bodies        *body.Account // for pipelined requests and long headers; nil: no limit
+	sharedQueue   bool          // other processes accept from the same queue
 
 	rejectedLingering int // rejected connections that wait for the client to close
 	logLimit          logLimiter
@@ -372,8 +373,8 @@
 	if tcp, ok := accepted.RemoteAddr().(*net.TCPAddr); ok {
 		address = tcp.AddrPort().Addr()
 	}
-	conn := &clientConn{Conn: accepted, listener: l, longHeader: &reservation{budget: l.budget, bytes: longHeaderBytes}}
-	conn.readAhead = newReadAheadConn(accepted, l.budget, conn.scanDiscarded)
+	conn := &clientConn{Conn: accepted, listener: l, longHeader: body.NewSlot(l.bodies, body.LongHeader, longHeaderBytes)}
+	conn.readAhead = newReadAheadConn(accepted, l.bodies, conn.scanDiscarded)
 	conn.idle.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
--- a/internal/gateway/download_test.go
+++ b/internal/gateway/download_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -310,8 +311,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				download := &download{body: resp.Body, length: 100000, conn: conn, prefix: newBodyPrefix(resp.Body, 100000, 0), window: window{budget: &front.metrics.bodyBudget},
+				download := &download{body: resp.Body, length: 100000, conn: conn, prefix: body.NewPrefix(resp.Body, 100000, 0),
 					metrics: front.metrics, done: make(chan rules.Outcome, 1)}
+				download.window.Init(front.metrics.bodies, 0)
 				exchange.responses <- response{status: 200, fromBackend: true, header: resp.Header, length: 100000, download: download}
 				start, readerDone := time.Now(), make(chan struct{})
 				go func() {
@@ -376,12 +378,13 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				download := &download{body: resp.Body, length: resp.ContentLength, conn: conn, prefix: newBodyPrefix(resp.Body, resp.ContentLength, 0),
-					window: window{budget: &front.metrics.bodyBudget}, metrics: front.metrics, done: make(chan rules.Outcome, 1)}
+				download := &download{body: resp.Body, length: resp.ContentLength, conn: conn, prefix: body.NewPrefix(resp.Body, resp.ContentLength, 0),
+					metrics: front.metrics, done: make(chan rules.Outcome, 1)}
+				download.window.Init(front.metrics.bodies, 0)
 				if resp.ContentLength < 0 {
 					download.chunked = &chunkedReader{reader: conn.reader}
 					download.body = download.chunked
-					download.prefix = newBodyPrefix(download.body, -1, 0)
+					download.prefix = body.NewPrefix(download.body, -1, 0)
 				}
 				exchange.responses <- response{status: 200, fromBackend: true, header: resp.Header, length: resp.ContentLength, download: download}
 				received, err := http.ReadResponse(bufio.NewReader(client), nil)
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/internal/wire"
 	"dunlintray/rules"
 )
@@ -86,9 +87,10 @@
 	rejected                       [rules.ReasonCount]atomic.Int64
 	loads, loadErrors              atomic.Int64    // configuration reloads applied and rejected
 	inProgress                     atomic.Int64    // requests accepted and not ended
+	openAttempts                   atomic.Int64    // attempts that have not ended
 	knownBackends, skippedBackends atomic.Int64    // skipped ones get no requests now
 	uploads, downloads             transferMetrics // to backends and to clients
-	bodyBudget                     budget          // memory of all bodies
+	bodies                         *body.Account   // memory of all bodies
 	subset                         *subsetMetrics  // nil: the gateway uses all backends
 	clients                        *clientListener // nil before clients are served
 
@@ -97,7 +99,7 @@
 }
 
 func newMetrics(config *Config) *metrics {
-	m := &metrics{bodyBudget: budget{total: config.resourcePlan(1).bodies}}
+	m := &metrics{bodies: body.NewAccount(config.resourcePlan(1).bodies)}
 	if config.Scopes.subset.Enabled() {
 		m.subset = &subsetMetrics{}
 	}
@@ -151,6 +153,7 @@
 	line("loads", &m.loads, "c")
 	line("load_errors", &m.loadErrors, "c")
 	line("in_progress", &m.inProgress, "g")
+	line("open_attempts", &m.openAttempts, "g")
 	line("known_backends", &m.knownBackends, "g")
 	line("skipped_backends", &m.skippedBackends, "g")
 	for direction, transfers := range map[string]*transferMetrics{"up": &m.uploads, "down": &m.downloads} {
@@ -162,8 +165,11 @@
 	}
 	m.subset.write(w)
 	m.clients.writeMetrics(w)
-	used, peak := m.bodyBudget.usage()
+	used, peak := m.bodies.Usage()
 	fmt.Fprintf(w, "app.transfers.memory:%d|g\napp.transfers.memory_most:%d|g\n", used, peak)
+	for kind, bytes := range m.bodies.Held() {
+		fmt.Fprintf(w, "app.transfers.memory.%s:%d|g\n", body.Kind(kind), bytes)
+	}
 }
 
 // serviceConfig holds the settings that one load of the configuration made active. It does not
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -5,15 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -25,6 +23,7 @@
 	readTimeout      = 2800 * time.Millisecond // a client that stops in the middle of a request is disconnected within 3 s
 	writeTimeout     = 5 * time.Second         // for a short response; a client that reads none is disconnected within 6 s
 	idleTimeout      = 2 * time.Minute
+	memoryRetryAfter = 1 // seconds, for the Retry-After header of a request whose body found no memory
 	readyPath        = "/health/ready"
 
 	idHeader          = "X-Correlation-Id"
@@ -40,15 +39,15 @@
 
 // exchange is one request of a client and its response.
 type exchange struct {
-	request        rules.Request // the loop sets its id
-	conn           *clientConn   // nil if the client's connection is of another type
-	method         string
-	uri            string
-	host           string
-	header         http.Header // headers to forward to a backend
-	body           []byte      // complete body, unless upload is set
-	reservedMemory int         // bytes reserved from the budget for body
-	upload         *upload     // body that is still arriving; nil if body is complete
+	request rules.Request // the loop sets its id
+	conn    *clientConn   // nil if the client's connection is of another type
+	method  string
+	uri     string
+	host    string
+	header  http.Header       // headers to forward to a backend
+	body    []byte            // complete body, unless upload is set
+	memory  *body.Reservation // of body
+	upload  *upload           // body that is still arriving; nil if body is complete
 
 	announcedTrailers []string    // names from the Trailer header
 	trailer           http.Header // trailers of a complete body; nil: none
@@ -95,11 +94,11 @@
 }
 
 // discardResponses discards responses whose handler has returned.
-func (x *exchange) discardResponses(budget *budget) {
+func (x *exchange) discardResponses() {
 	for {
 		select {
 		case unsent := <-x.responses:
-			unsent.discard(budget)
+			unsent.discard()
 		default:
 			return
 		}
@@ -108,21 +107,21 @@
 
 // response is an interim (1xx) or final response to a client.
 type response struct {
-	status         int
-	fromBackend    bool    // false if the gateway generated it
-	clientGone     bool    // nobody waits for it: the connection is aborted
-	retryAfter     float64 // seconds; 0: no Retry-After header
-	header         http.Header
-	trailer        http.Header // nil: none
-	body           []byte
-	reservedMemory int       // bytes reserved from the budget for body
-	length         int64     // of the body in bytes; -1 if unknown
-	download       *download // body that is streamed; nil if body is complete
+	status      int
+	fromBackend bool    // false if the gateway generated it
+	clientGone  bool    // nobody waits for it: the connection is aborted
+	retryAfter  float64 // seconds; 0: no Retry-After header
+	header      http.Header
+	trailer     http.Header // nil: none
+	body        []byte
+	memory      *body.Reservation // of body
+	length      int64             // of the body in bytes; -1 if unknown
+	download    *download         // body that is streamed; nil if body is complete
 }
 
 // discard releases the resources of a response that is not sent.
-func (r response) discard(budget *budget) {
-	budget.release(r.reservedMemory)
+func (r response) discard() {
+	r.memory.Release()
 	if r.download != nil {
 		r.download.discard()
 	}
@@ -222,7 +221,7 @@
 	}
 	exchange, status, err := f.read(r, control)
 	if err != nil {
-		noMemory := errors.Is(err, errNoBodyMemory)
+		noMemory := errors.Is(err, body.ErrNoMemory)
 		maxPause := maxInvalidPause
 		if noMemory {
 			maxPause = maxRejectionPause // the request is valid, and its client waits
@@ -232,13 +231,13 @@
 			w.Header().Set("Connection", "close") // the rest of the body may still arrive
 		}
 		if noMemory {
-			w.Header().Set("Retry-After", strconv.Itoa(budgetRetryAfter))
+			w.Header().Set("Retry-After", strconv.Itoa(memoryRetryAfter))
 		}
 		control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		http.Error(w, err.Error(), status)
 		return
 	}
-	defer func() { f.metrics.bodyBudget.release(exchange.reservedMemory) }()
+	defer exchange.memory.Release()
 	if exchange.upload != nil {
 		defer exchange.upload.releaseMemory()
 	}
@@ -299,15 +298,15 @@
 			}
 		case <-peerClosed:
 			if !f.loop.post(clientGone{exchange}) {
-				exchange.discardResponses(&f.metrics.bodyBudget)
+				exchange.discardResponses()
 			}
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			if !f.loop.post(clientGone{exchange}) {
-				exchange.discardResponses(&f.metrics.bodyBudget)
+				exchange.discardResponses()
 			}
 		case <-f.loop.stopped:
-			exchange.discardResponses(&f.metrics.bodyBudget)
+			exchange.discardResponses()
 			http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		}
 		return
@@ -369,282 +368,3 @@
 	delete(exchange.header, timeLeftHeader) // each attempt sets its own
 	return exchange, 0, nil
 }
-
-// readBody reads the body of a request until it is complete or has to be streamed. On an
-// error it returns the status of the response.
-func (f *frontend) readBody(exchange *exchange, r *http.Request, control *http.ResponseController) (int, error) {
-	headerReadAt := time.Now()
-	long := r.ContentLength > maxHeldBody
-	held := int(r.ContentLength)
-	memory := held
-	switch {
-	case long:
-		held, memory = 0, minWindow
-	case held < 0:
-		held, memory = maxHeldBody, maxHeldBody+minWindow
-	}
-	if memory > uncountedBytes {
-		if err := f.reserveBody(r.Context(), exchange, memory); err != nil {
-			exchange.counts.dropped.Add(1)
-			f.metrics.uploads.ended[noMemory].Add(1)
-			return http.StatusServiceUnavailable, err
-		}
-	} else {
-		memory = 0
-	}
-	for name := range r.Trailer { // before the body is read: its end sets the values
-		exchange.announcedTrailers = append(exchange.announcedTrailers, name)
-	}
-	remainder := newClientBody(r, control, headerReadAt, exchange.service.maxBodyBytes, &f.metrics.uploads.bytes)
-	prefix := newBodyPrefix(remainder, r.ContentLength, held)
-	complete, err := false, error(nil)
-	switch {
-	case long:
-	case r.ContentLength > 0:
-		complete, err = prefix.fill()
-	default:
-		complete, err = fillWithin(prefix, maxHoldTime)
-	}
-	if err != nil {
-		f.metrics.bodyBudget.release(memory)
-		f.metrics.uploads.recordEnd(clientBodyCause(err), r.Header.Get(idHeader), err)
-		return uploadStatus(err), fmt.Errorf("body: %w", err)
-	}
-	if complete {
-		exchange.completeAt = remainder.arrival.lastByteTime()
-		exchange.body, exchange.trailer, exchange.reservedMemory = prefix.held, forwardableTrailers(r.Trailer), f.metrics.bodyBudget.shrink(memory, len(prefix.held))
-		return 0, nil
-	}
-	exchange.request.BodyPending = true
-	exchange.upload = &upload{request: r, length: r.ContentLength, clientTimeout: exchange.timeout, budget: &f.metrics.bodyBudget,
-		prefix: prefix, remainder: remainder, reservedMemory: held, window: window{budget: &f.metrics.bodyBudget, prepaid: minWindow}}
-	exchange.upload.onConsumed = func() { f.loop.post(bodyConsumed{exchange}) }
-	exchange.upload.onComplete = func(until time.Time) { f.loop.post(bodyComplete{exchange, until}) }
-	return 0, nil
-}
-
-// reserveBody reserves memory for the body of a request. It waits for no longer than the client does: the
-// whole body may have arrived already.
-func (f *frontend) reserveBody(ctx context.Context, exchange *exchange, bytes int) error {
-	timeLeft := exchange.timeout - exchange.sinceLastByte() - seconds(responseMargin)
-	ctx, cancel := context.WithTimeout(ctx, timeLeft)
-	defer cancel()
-	return f.metrics.bodyBudget.reserve(ctx, bytes)
-}
-
-// fillWithin fills a prefix for at most the given time. After that the body is released
-// for streaming and the prefix is filled in the background.
-func fillWithin(prefix *bodyPrefix, timeout time.Duration) (complete bool, err error) {
-	type fillResult struct {
-		complete bool
-		err      error
-	}
-	results := make(chan fillResult, 1)
-	go func() { complete, err := prefix.fill(); results <- fillResult{complete, err} }()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case result := <-results:
-		return result.complete, result.err
-	case <-timer.C:
-	}
-	if prefix.release() {
-		return false, nil
-	}
-	result := <-results
-	return result.complete, result.err
-}
-
-// originForm returns the origin form (path and query) of a request target, which may be
-// in absolute form.
-func originForm(target string) string {
-	if _, rest, absolute := strings.Cut(target, "://"); absolute && !strings.HasPrefix(target, "/") {
-		_, path, _ := strings.Cut(rest, "/")
-		if query := strings.IndexByte(rest, '?'); query >= 0 && query < len(rest)-len(path)-1 {
-			path = rest[query:] // a query without a path
-		}
-		return "/" + path
-	}
-	return target
-}
-
-// parseRequest parses the headers that the decision module needs. No header has a default:
-// a misread request could be charged to the wrong customer or retried against the rules
-// of its class.
-func (s *serviceConfig) parseRequest(r *http.Request) (rules.Request, error) {
-	var request rules.Request
-	header := r.Header
-	if id := header.Get(idHeader); id == "" || len(id) > maxIDBytes {
-		return request, errors.New(idHeader + " is missing or too long")
-	}
-	class := header.Get(classHeader)
-	if request.Class = slices.Index(s.ClassNames, class); request.Class < 0 {
-		return request, errors.New(classHeader + " names no class")
-	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(r.RequestURI, "//") {
-		return request, errors.New("the path is not one of the class")
-	}
-	if request.Plan = slices.Index(s.PlanNames, header.Get(planHeader)); request.Plan < 0 {
-		return request, errors.New(planHeader + " names no plan")
-	}
-	customer := header.Get(customerHeader)
-	id, err := strconv.ParseUint(customer, 16, 64)
-	if err != nil || len(customer) != 16 || id >= customerIDLimit {
-		return request, errors.New(customerHeader + " is not the number of a customer")
-	}
-	request.Customer = rules.CustomerID(id)
-	timeLeft, err := strconv.ParseInt(header.Get(timeLeftHeader), 10, 64)
-	if err != nil || timeLeft <= 0 || timeLeft > maxClientTimeout.Milliseconds() {
-		return request, errors.New(timeLeftHeader + " is not a time in milliseconds")
-	}
-	request.Deadline = float64(timeLeft) / 1000 // seconds after the last byte
-	request.ClientRetry = header.Get(clientRetryHeader) == "1"
-	return request, s.parseTerms(&request, header.Get(termsHeader))
-}
-
-// parseTerms parses the units of a request and the gateways that serve its customer.
-func (s *serviceConfig) parseTerms(request *rules.Request, text string) error {
-	for part := range strings.SplitSeq(text, ",") {
-		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		var err error
-		switch key {
-		case "units":
-			request.Units, err = strconv.ParseFloat(value, 64)
-		case "spread":
-			request.GatewayCount, err = strconv.Atoi(value)
-		case "first":
-			request.FirstGateway, err = strconv.Atoi(value)
-		}
-		if err != nil {
-			return fmt.Errorf("%s: %s is not a number", termsHeader, key)
-		}
-	}
-	maxUnits := s.MaxUnits
-	if maxUnits <= 0 {
-		maxUnits = math.MaxInt32
-	}
-	if !(request.Units > 0 && request.Units <= maxUnits) || request.GatewayCount < 1 || request.GatewayCount > s.Fleet ||
-		request.FirstGateway < 0 || request.FirstGateway >= s.Fleet {
-		return errors.New(termsHeader + ": units, spread or first is missing or out of range")
-	}
-	return nil
-}
-
-// hopByHopHeaders are the headers that are not forwarded.
-var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
-
-// endToEndHeaders removes the hop-by-hop headers from h, including those that Connection
-// lists, and returns h.
-func endToEndHeaders(h http.Header) http.Header {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name != idHeader && name != idempotencyHeader {
-				delete(h, name)
-			}
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		delete(h, name)
-	}
-	return h
-}
-
-// forwardableTrailers returns the end-to-end trailers in h, or nil if there are none.
-func forwardableTrailers(h http.Header) http.Header {
-	var kept http.Header
-	for name, values := range h {
-		if len(values) > 0 && !slices.Contains(hopByHopHeaders, name) {
-			if kept == nil {
-				kept = http.Header{}
-			}
-			kept[name] = values
-		}
-	}
-	return kept
-}
-
-// interim reports whether the response is a 1xx.
-func (r response) interim() bool { return r.status/100 == 1 }
-
-// writeInterim writes a 1xx response. Its headers are not repeated in the final one.
-func (r response) writeInterim(w http.ResponseWriter) {
-	header := w.Header()
-	for name, values := range endToEndHeaders(r.header) {
-		header[name] = values
-	}
-	w.WriteHeader(r.status)
-	clear(header)
-}
-
-// writeResponse writes a final response. An error means that the response is incomplete
-// and that the client cannot tell so far.
-func (f *frontend) writeResponse(response response, id string, w http.ResponseWriter, control *http.ResponseController) error {
-	defer f.metrics.bodyBudget.release(response.reservedMemory)
-	header := w.Header()
-	for name, values := range response.header {
-		header[name] = values
-	}
-	if !response.fromBackend {
-		if response.retryAfter > 0 {
-			header["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(response.retryAfter*1000)/1000, 'f', -1, 64)}
-		}
-		header["Content-Length"] = []string{"0"}
-		w.WriteHeader(response.status)
-		return nil
-	}
-	if _, typed := header["Content-Type"]; !typed {
-		header["Content-Type"] = nil // prevents content sniffing
-	}
-	if response.length < 0 && response.download == nil && response.trailer == nil {
-		response.length = int64(len(response.body))
-	}
-	if response.length >= 0 && response.status != http.StatusNoContent && response.status != http.StatusNotModified {
-		header["Content-Length"] = []string{strconv.FormatInt(response.length, 10)}
-	}
-	if response.download == nil {
-		addTrailers(header, response.trailer) // before the header, so that the body is sent in chunks
-		w.WriteHeader(response.status)
-		w.Write(response.body) // an error means that the client has disconnected
-		return nil
-	}
-	return f.streamResponse(response, id, w, control)
-}
-
-// streamResponse writes a response whose body is still arriving from the backend.
-func (f *frontend) streamResponse(response response, id string, w http.ResponseWriter, control *http.ResponseController) error {
-	download := response.download
-	if !download.claim() {
-		return errTransferAborted // the loop discarded it because the client disconnected
-	}
-	f.metrics.downloads.streaming.Add(1)
-	defer f.metrics.downloads.streaming.Add(-1)
-	w.WriteHeader(response.status)
-	outcome, err := rules.Cancelled, control.Flush()
-	if err == nil {
-		outcome, err = download.copyTo(w, control)
-	}
-	if outcome == rules.Served {
-		addTrailers(w.Header(), download.trailers())
-		if err = control.Flush(); err != nil {
-			outcome = rules.Cancelled
-		}
-	}
-	switch outcome {
-	case rules.Served:
-		f.metrics.downloads.recordEnd(transferComplete, "", nil)
-	case rules.Cancelled:
-		f.metrics.downloads.recordEnd(timeoutCause(err, clientSlow, clientLeft), id, err)
-	default:
-		f.metrics.downloads.recordEnd(timeoutCause(err, backendSlow, backendBroken), id, err)
-	}
-	download.done <- outcome
-	return err
-}
-
-// addTrailers adds trailers to the headers h of a response.
-func addTrailers(h, trailer http.Header) {
-	for name, values := range trailer {
-		h[http.TrailerPrefix+name] = values
-	}
-}
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/internal/wire"
 )
 
@@ -45,7 +46,7 @@
 		t.Fatal(err)
 	}
 	listener := newPipeListener()
-	front := &frontend{metrics: &metrics{bodyBudget: budget{total: 4 << 20}}, clients: newClientListener(listener, 100),
+	front := &frontend{metrics: &metrics{bodies: body.NewAccount(4 << 20)}, clients: newClientListener(listener, 100),
 		loop: &Loop{clock: newClock(), inbox: make(chan any, inboxSize), stopped: make(chan struct{})}}
 	front.service.Store(front.metrics.newService(deploy, 0))
 	server := front.server()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 		counter = newCounter(config.Counter, seconds(config.CounterTimeout))
 	}
 	front := &frontend{metrics: metrics, clients: newClientListener(listener, 1), pacer: newAnswerPacer(config.Cores)}
-	front.clients.budget = &metrics.bodyBudget
+	front.clients.bodies = metrics.bodies
 	front.clients.sharedQueue = config.Inherited != "" || config.HandoverDir != ""
 	metrics.clients = front.clients
 	front.applyService(metrics.newService(config.Deployment, config.maxBodyBytes()))
@@ -55,7 +55,7 @@
 	limits := newResourceLimits(config, func(plan resourcePlan) {
 		front.clients.setLimit(plan.clientConns)
 		pools.setMaxOpen(plan.backendConns)
-		metrics.bodyBudget.setTotal(plan.bodies)
+		metrics.bodies.SetTotal(plan.bodies)
 		front.loop.post(planChanged{plan})
 	})
 	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/internal/registry"
 )
 
@@ -74,22 +75,28 @@
 	t.Cleanup(func() {
 		stop()
 		<-done
-		// No transfer may leave memory, counts or connections behind.
-		for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
-			used, _ := g.metrics.bodyBudget.usage()
-			up, down := g.metrics.uploads.streaming.Load(), g.metrics.downloads.streaming.Load()
-			open := g.metrics.clients.counts().Open
-			if used == 0 && up == 0 && down == 0 && open == 0 {
-				break
-			}
-			if time.Now().After(end) {
-				t.Errorf("%d bytes of the budget are left, %d transfers up, %d down, %d connections", used, up, down, open)
-				break
-			}
-		}
+		checkNothingHeld(t, g.metrics)
 	})
 }
 
+// checkNothingHeld checks that no request has left memory of any kind, a transfer, a place or a connection
+// behind.
+func checkNothingHeld(t testing.TB, metrics *metrics) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		memory := metrics.bodies.Held()
+		up, down := metrics.uploads.streaming.Load(), metrics.downloads.streaming.Load()
+		requests, attempts, open := metrics.inProgress.Load(), metrics.openAttempts.Load(), metrics.clients.counts().Open
+		if memory == [body.KindCount]int{} && up == 0 && down == 0 && requests == 0 && attempts == 0 && open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Errorf("left behind: bytes by kind %v, %d transfers up, %d down, %d requests, %d attempts, %d connections", memory, up, down, requests, attempts, open)
+			return
+		}
+	}
+}
+
 // newListing returns a list or a change with the given backends.
 func newListing(reset bool, lifecycle string, backends ...*testServer) Listing {
 	listing := Listing{Generation: 1, Reset: reset}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -143,11 +143,7 @@
 	t.Parallel()
 	backend := newTestServer(t)
 	old, next, kept := newSiblings(t, backend)
-	memory := func(process *testGateway) int {
-		process.metrics.bodyBudget.mu.Lock()
-		defer process.metrics.bodyBudget.mu.Unlock()
-		return process.metrics.bodyBudget.total
-	}
+	memory := func(process *testGateway) int { return process.metrics.bodies.Total() }
 	for _, process := range []*testGateway{old, next} {
 		for deadline := time.Now().Add(testTimeout); memory(process) != newResourcePlan(192, 1024, 2).bodies; time.Sleep(time.Millisecond) {
 			if time.Now().After(deadline) {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -178,6 +178,7 @@
 // run processes messages and timers until ctx ends.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
+	defer l.finishAll()
 	wakeup := time.NewTimer(0)
 	defer wakeup.Stop()
 	for {
@@ -209,7 +210,7 @@
 			l.trace(message.exchange, "client left")
 			l.abandon(message.exchange)
 		}
-		message.exchange.discardResponses(&l.metrics.bodyBudget) // its handler has returned
+		message.exchange.discardResponses() // its handler has returned
 	case bodyComplete:
 		l.completeBody(message.exchange, message.deadline)
 	case bodyConsumed:
@@ -330,6 +331,16 @@
 	}
 }
 
+// finishAll marks the requests that are still in progress as ended, when the loop ends: their handlers answer
+// them then.
+func (l *Loop) finishAll() {
+	for _, exchange := range l.live {
+		if exchange.inProgress {
+			l.finish(exchange)
+		}
+	}
+}
+
 // abandon ends a request whose client has left or has not sent a complete body.
 func (l *Loop) abandon(exchange *exchange) {
 	l.finish(exchange)
@@ -537,11 +548,13 @@
 	} else {
 		l.setAttemptTimer(attempt)
 	}
+	l.metrics.openAttempts.Add(1)
 	l.attempts.Go(func() { // ends by attempt.wallDeadline, or when the attempt is aborted
+		defer l.metrics.openAttempts.Add(-1)
 		res := l.pools.runAttempt(attempt)
 		attempt.cancel()
 		if !l.post(attemptDone{attempt, res}) {
-			res.response.discard(&l.metrics.bodyBudget)
+			res.response.discard()
 		}
 	})
 }
@@ -549,7 +562,7 @@
 // endAttempt records the result of an attempt. It drops any later result.
 func (l *Loop) endAttempt(attempt *attempt, res result) {
 	if attempt.ended {
-		res.response.discard(&l.metrics.bodyBudget)
+		res.response.discard()
 		return
 	}
 	attempt.ended, attempt.outcome, attempt.err, attempt.took = true, res.outcome, res.err, l.clock.now()-attempt.sent
@@ -558,7 +571,7 @@
 	exchange.inFlight--
 	switch {
 	case !exchange.inProgress, exchange.responseStarted && attempt.download == nil: // another answer is being sent, or was
-		res.response.discard(&l.metrics.bodyBudget)
+		res.response.discard()
 	case exchange.responseStarted && res.outcome == rules.Served:
 		l.finish(exchange)
 		exchange.counts.passed.Add(1)
--- a/internal/gateway/pool_limit_test.go
+++ b/internal/gateway/pool_limit_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -126,7 +127,7 @@
 // connections are always in demand: as many clients as connections, and 170 to 300 ms of work.
 func BenchmarkPoolAtLimit(b *testing.B) {
 	const clients = 85
-	pools := newPools(testTimeout, time.Minute, clients, &metrics{bodyBudget: budget{total: 16 << 20}})
+	pools := newPools(testTimeout, time.Minute, clients, &metrics{bodies: body.NewAccount(16 << 20)})
 	pools.settle = 50 * time.Millisecond
 	pools.update(1, slowBackend(b), 0)
 	var mu sync.Mutex
--- a/internal/gateway/second_attempt_test.go
+++ b/internal/gateway/second_attempt_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -120,14 +121,17 @@
 
 // newTestUpload returns an upload whose first bytes are kept and whose remainder is still to be read.
 func newTestUpload(kept, remainder string) *upload {
-	budget := &budget{total: 1 << 20}
-	prefix := &bodyPrefix{held: []byte(kept), capacity: len(kept), fillDone: true}
-	prefix.changed.L = &prefix.mu
+	prefix := body.NewPrefix(strings.NewReader(kept), -1, len(kept))
+	if kept != "" {
+		prefix.Fill()
+	}
 	request, _ := http.NewRequest("POST", "/booking", strings.NewReader(remainder))
 	request.ContentLength = -1
-	return &upload{request: request, length: -1, budget: budget, prefix: prefix, window: window{budget: budget},
-		remainder:  &clientBody{body: request.Body, length: -1, control: http.NewResponseController(noDeadlines{}), total: &new(metrics).uploads.bytes, pace: pace{maxPause: testTimeout}},
+	upload := &upload{request: request, length: -1, prefix: prefix,
+		remainder:  &clientBody{body: request.Body, length: -1, control: http.NewResponseController(noDeadlines{}), total: &new(metrics).uploads.bytes, pace: body.Pace{MaxPause: testTimeout}},
 		onConsumed: func() {}, onComplete: func(time.Time) {}}
+	upload.window.Init(body.NewAccount(1<<20), 0)
+	return upload
 }
 
 // noDeadlines is a response writer whose connection has no deadlines.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"dunlintray/internal/gateway/body"
 	"dunlintray/rules"
 )
 
@@ -143,7 +144,7 @@
 // sendBody writes a request and its body as the body arrives. It returns why the upload
 // ended.
 func (a *attempt) sendBody(conn *backendConn) (transferCause, error) {
-	upload, writePace := a.exchange.upload, pace{maxPause: stallTimeout, grace: stallTimeout, minRate: minTransferRate}
+	upload, writePace := a.exchange.upload, body.Pace{MaxPause: stallTimeout, Grace: stallTimeout, MinRate: minTransferRate}
 	remaining := upload.remaining()
 	if !a.wallDeadline.IsZero() {
 		remaining = min(remaining, time.Until(a.wallDeadline))
@@ -160,7 +161,7 @@
 			a.lastPiece.Store(true)
 		}
 		writeStart := time.Now()
-		conn.SetWriteDeadline(a.writeDeadline(writeStart.Add(writePace.allowedWait())))
+		conn.SetWriteDeadline(a.writeDeadline(writeStart.Add(writePace.AllowedWait())))
 		if upload.length >= 0 {
 			conn.writer.Write(piece)
 		} else {
@@ -175,6 +176,6 @@
 		if err == io.EOF {
 			return transferComplete, nil
 		}
-		writePace.record(len(piece), time.Since(writeStart))
+		writePace.Record(len(piece), time.Since(writeStart))
 	}
 }
--- a/internal/gateway/stream_memory_test.go
+++ b/internal/gateway/stream_memory_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"dunlintray/internal/gateway/body"
 )
 
 // The memory that transfers take does not grow with the length of their bodies.
@@ -42,8 +44,8 @@
 			})
 		}
 		wg.Wait()
-		if _, peak := gateway.metrics.bodyBudget.usage(); peak > transfers*maxWindow {
-			t.Errorf("%d transfers of %d bytes took %d bytes of memory, limit %d", transfers, size, peak, transfers*maxWindow)
+		if _, peak := gateway.metrics.bodies.Usage(); peak > transfers*body.MaxWindow {
+			t.Errorf("%d transfers of %d bytes took %d bytes of memory, limit %d", transfers, size, peak, transfers*body.MaxWindow)
 		}
 	}
 }
@@ -55,7 +57,7 @@
 	const fit = 8
 	backend := newTestServer(t)
 	gateway := newTestGateway(t, backend)
-	gateway.metrics.bodyBudget.setTotal(fit * minWindow)
+	gateway.metrics.bodies.SetTotal(fit * body.MinWindow)
 	size := 64 * maxHeldBody
 	type firstResponse struct {
 		conn   net.Conn
@@ -104,8 +106,8 @@
 		case first.resp.StatusCode != http.StatusServiceUnavailable || first.resp.Header.Get("Retry-After") != "1":
 			t.Errorf("status %d, Retry-After %q; want 503 and 1", first.resp.StatusCode, first.resp.Header.Get("Retry-After"))
 		}
-		if used, peak := gateway.metrics.bodyBudget.usage(); peak > fit*minWindow {
-			t.Errorf("%d bytes reserved, peak %d, limit %d", used, peak, fit*minWindow)
+		if used, peak := gateway.metrics.bodies.Usage(); peak > fit*body.MinWindow {
+			t.Errorf("%d bytes reserved, peak %d, limit %d", used, peak, fit*body.MinWindow)
 		}
 	}
 	if admitted != fit {
@@ -132,7 +134,7 @@
 	const fit = 4
 	backend := newTestServer(t)
 	gateway := newTestGateway(t, backend)
-	gateway.metrics.bodyBudget.setTotal(fit * maxHeldBody)
+	gateway.metrics.bodies.SetTotal(fit * maxHeldBody)
 	body := randomBody(1, 8<<20)
 	var readHeads []func() *http.Response
 	for range 10 * fit {
@@ -157,7 +159,7 @@
 		})
 	}
 	wg.Wait()
-	if _, peak := gateway.metrics.bodyBudget.usage(); peak > fit*maxHeldBody {
+	if _, peak := gateway.metrics.bodies.Usage(); peak > fit*maxHeldBody {
 		t.Errorf("peak of %d bytes, limit %d", peak, fit*maxHeldBody)
 	}
 }
@@ -168,7 +170,7 @@
 	t.Parallel()
 	backend := newTestServer(t)
 	gateway := newTestGateway(t, backend)
-	gateway.metrics.bodyBudget.setTotal(4 * minWindow)
+	gateway.metrics.bodies.SetTotal(4 * body.MinWindow)
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -216,7 +218,7 @@
 	if served.Load() == 0 {
 		t.Errorf("no request served, %d rejected", rejected.Load())
 	}
-	if _, peak := gateway.metrics.bodyBudget.usage(); peak > 4*minWindow {
-		t.Errorf("peak of %d bytes, limit %d", peak, 4*minWindow)
+	if _, peak := gateway.metrics.bodies.Usage(); peak > 4*body.MinWindow {
+		t.Errorf("peak of %d bytes, limit %d", peak, 4*body.MinWindow)
 	}
 }
--- a/internal/gateway/trailer_test.go
+++ b/internal/gateway/trailer_test.go
@@ -34,5 +34,5 @@
 	if err != nil || exchange.upload == nil || strings.Join(exchange.announcedTrailers, ",") != "X-Sum" {
 		t.Fatalf("%+v, %v", exchange, err)
 	}
-	exchange.upload.prefix.wait()
+	exchange.upload.prefix.Wait()
 }
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"dunlintray/internal/gateway/body"
 )
 
 // A long body is streamed to the backend while it arrives. Its request is accepted only with
@@ -190,7 +192,7 @@
 func TestUploadWithoutMemoryIsRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		front, listener := newPipedFrontend(t)
-		front.metrics.bodyBudget.tryReserve(front.metrics.bodyBudget.total)
+		defer front.metrics.bodies.TryReserve(body.RequestStart, front.metrics.bodies.Total()).Release()
 		client, server := net.Pipe()
 		defer client.Close()
 		listener.conns <- server
@@ -213,7 +215,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const timeLeft = 480 * time.Millisecond
 				front, listener := newPipedFrontend(t)
-				front.metrics.bodyBudget.tryReserve(front.metrics.bodyBudget.total)
+				defer front.metrics.bodies.TryReserve(body.RequestStart, front.metrics.bodies.Total()).Release()
 				client, server := net.Pipe()
 				defer client.Close()
 				listener.conns <- server
