gateway: a request right behind its response is not taken for one of too many

Cause: the read-ahead that watches for a client's end goes on until the handler has ended, and the response reaches the client before. Change: once the response has begun nothing is discarded. The information about a connection is read by one function, and only behind bytes.

--- a/internal/gateway/ahead.go
+++ b/internal/gateway/ahead.go
@@ -44,6 +44,7 @@
 
 	memory     *body.Slot   // of maxReadAhead bytes, for more than body.UncountedBytes
 	discarded  func([]byte) // called with the bytes that are discarded, in order
+	answered   func() bool  // reports whether the response to the request in progress has begun
 	overflowed bool         // bytes have been discarded; nothing buffered may be read
 
 	bufferedAt    time.Time    // when the last byte of buffered arrived
@@ -55,10 +56,12 @@
 // errOverflowed reports that pipelined requests were discarded, since they were too long.
 var errOverflowed = errors.New("too many bytes of pipelined requests")
 
-// newReadAheadConn wraps a connection. It calls discarded with the bytes that it discards; the
-// connection cannot be read any more then. A nil account sets no limit.
-func newReadAheadConn(conn net.Conn, account *body.Account, discarded func([]byte)) *readAheadConn {
-	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), discarded: discarded,
+// newReadAheadConn wraps a connection. Once the response to the request in progress has begun, as answered
+// reports, the client need not be watched, and may send its next request: no byte is discarded then. Before,
+// discarded is called with the bytes that are; the connection cannot be read any more then. A nil account sets
+// no limit.
+func newReadAheadConn(conn net.Conn, account *body.Account, answered func() bool, discarded func([]byte)) *readAheadConn {
+	return &readAheadConn{Conn: conn, peerClosed: make(chan struct{}), answered: answered, discarded: discarded,
 		memory: body.NewSlot(account, body.ReadAhead, maxReadAhead)}
 }
 
@@ -88,7 +91,10 @@
 	}
 	n, err = a.Conn.Read(p)
 	a.recordEnd(err)
-	return n, a.arrival.lastArrival(a.Conn), err
+	if n > 0 {
+		arrivedAt = a.arrival.lastArrival(a.Conn)
+	}
+	return n, arrivedAt, err
 }
 
 // recordEnd records an error that ends the connection. A timeout does not.
@@ -117,6 +123,9 @@
 	var buffer [1 << 10]byte
 	for limit := body.UncountedBytes; ; {
 		if len(a.buffered) >= limit {
+			if a.answered() {
+				return
+			}
 			if limit == maxReadAhead || !a.memory.Acquire() {
 				break
 			}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -374,7 +374,7 @@
 		address = tcp.AddrPort().Addr()
 	}
 	conn := &clientConn{Conn: accepted, listener: l, longHeader: body.NewSlot(l.bodies, body.LongHeader, longHeaderBytes)}
-	conn.readAhead = newReadAheadConn(accepted, l.bodies, conn.scanDiscarded)
+	conn.readAhead = newReadAheadConn(accepted, l.bodies, conn.responseStarted.Load, conn.scanDiscarded)
 	conn.idle.Store(true)
 	l.mu.Lock()
 	var victim *clientConn
--- a/internal/gateway/data_arrival.go
+++ b/internal/gateway/data_arrival.go
@@ -38,9 +38,12 @@
 }
 
 // read sets info to the system's information about a socket.
-func (p *arrivalProbe) read(fd uintptr) {
-	size := uint32(unsafe.Sizeof(p.info))
+func (p *arrivalProbe) read(fd uintptr) { p.known = readTCPInfo(fd, &p.info) }
+
+// readTCPInfo reads the system's information about a socket, and reports whether there is any.
+func readTCPInfo(fd uintptr, info *syscall.TCPInfo) (known bool) {
+	size := uint32(unsafe.Sizeof(*info))
 	_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
-		uintptr(unsafe.Pointer(&p.info)), uintptr(unsafe.Pointer(&size)), 0)
-	p.known = errno == 0
+		uintptr(unsafe.Pointer(info)), uintptr(unsafe.Pointer(&size)), 0)
+	return errno == 0
 }
--- a/internal/gateway/data_arrival_test.go
+++ b/internal/gateway/data_arrival_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -30,7 +33,7 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	conn := newReadAheadConn(server, nil, func([]byte) {})
+	conn := newReadAheadConn(server, nil, func() bool { return false }, func([]byte) {})
 	checkArrival := func(where string) {
 		t.Helper()
 		_, arrivedAt, err := conn.read(make([]byte, 4<<10))
@@ -44,3 +47,27 @@
 	time.Sleep(waited)
 	checkArrival("in the socket")
 }
+
+// A client may send its next request, with a body of more than maxReadAhead, as soon as it has the response to
+// the one before, while the handler of that still runs. It must not be taken for one of too many pipelined
+// requests. While no response has begun it is.
+func TestRequestBehindItsResponseIsRead(t *testing.T) {
+	next := bytes.Repeat([]byte("x"), 2*maxReadAhead)
+	for _, answered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			client, server := net.Pipe()
+			defer client.Close()
+			conn := newReadAheadConn(server, nil, func() bool { return answered }, func([]byte) {})
+			conn.start()
+			go client.Write(next)
+			synctest.Wait()
+			read, err := io.ReadFull(conn, make([]byte, len(next)))
+			if answered && err != nil {
+				t.Errorf("behind its response: %d bytes, %v", read, err)
+			}
+			if !answered && !errors.Is(err, errOverflowed) {
+				t.Errorf("before the response: %d bytes, %v; want %v", read, err, errOverflowed)
+			}
+		})
+	}
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -5,7 +5,6 @@
 	"net"
 	"syscall"
 	"time"
-	"unsafe"
 )
 
 const (
@@ -48,13 +47,8 @@
 	if raw == nil {
 		return info, false
 	}
-	size := uint32(unsafe.Sizeof(info))
-	var errno syscall.Errno
-	err := raw.Control(func(fd uintptr) {
-		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
-			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
-	})
-	return info, err == nil && errno == 0
+	err := raw.Control(func(fd uintptr) { ok = readTCPInfo(fd, &info) })
+	return info, ok && err == nil
 }
 
 // sinceLastSegment returns the time since the peer's last segment arrived, if known. For a
