--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -106,6 +106,13 @@
 	return m
 }
 
+// resourcesInUse returns what clients make the gateway hold now.
+func (m *metrics) resourcesInUse() resourceShare {
+	bodies, _ := m.bodies.Usage()
+	return resourceShare{ClientConns: m.clients.counts().Open, Attempts: int(m.openAttempts.Load()),
+		Requests: int(m.inProgress.Load()), Bodies: bodies}
+}
+
 // newService returns the settings of a deployment with the counts of its classes. A class that
 // was removed and is added again keeps its earlier counts.
 func (m *metrics) newService(deployment wire.Deployment, maxBodyBytes int64) *serviceConfig {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,9 @@
 		metrics.bodies.SetTotal(plan.bodies)
 		front.loop.post(planChanged{plan})
 	})
-	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning}
+	handover := &handover{loop: front.loop, noPredecessor: make(chan struct{}), setSiblingRunning: limits.setSiblingRunning,
+		setSiblingShare: limits.setSiblingShare,
+		giveUp:          func() (resourceShare, bool) { return limits.giveUp(metrics.resourcesInUse()) }}
 	defer handover.close()           // last: until then this process counts against the limits of the gateway
 	defer front.loop.attempts.Wait() // after the loop, which starts attempts, and the sweep, which ends them
 	defer wg.Wait()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -47,6 +47,7 @@
 	Leaving        bool             `json:",omitempty"`      // old to new: the sender accepts no more clients
 	Override       *overrideMessage `json:"Call,omitempty"`
 	OverrideResult *overrideMessage `json:"Said,omitempty"`
+	Kept           *resourceShare   `json:",omitempty"` // old to new: all that the sender may hold from now on
 	Claims         bool             `json:",omitempty"` // with Join and Snapshot: the sender answers claims
 	Claim          *claimMessage    `json:",omitempty"` // the sender is about to accept a request
 	ClaimResult    *claimMessage    `json:",omitempty"`
@@ -146,8 +147,10 @@
 // handover makes this process and its predecessor or successor act as one gateway.
 type handover struct {
 	loop              *Loop
-	setSiblingRunning func(bool)    // whether a sibling process shares the limits on descriptors and memory
-	noPredecessor     chan struct{} // closed once this process has no predecessor
+	setSiblingRunning func(bool) // whether a sibling process shares the limits on descriptors and memory
+	setSiblingShare   func(resourceShare)
+	giveUp            func() (kept resourceShare, changed bool) // gives up what this process does not use
+	noPredecessor     chan struct{}                             // closed once this process has no predecessor
 
 	mu                 sync.Mutex
 	sibling            *siblingConn // nil: there is no sibling process
@@ -296,6 +299,8 @@
 				close(sibling.serving)
 			}
 			h.mu.Unlock()
+		case message.Kept != nil:
+			h.setSiblingShare(*message.Kept)
 		case message.Leaving:
 			h.loop.post(moduleEvent{rules.SiblingDraining})
 		}
@@ -498,6 +503,17 @@
 	return sibling != nil && serving && sibling.send(handoverMessage{Leaving: true}) == nil
 }
 
+// giveUpUnused lets the successor process take what this one, which accepts no more clients, does not use.
+func (h *handover) giveUpUnused() {
+	kept, changed := h.giveUp()
+	h.mu.Lock()
+	sibling := h.sibling
+	h.mu.Unlock()
+	if changed && sibling != nil {
+		sibling.send(handoverMessage{Kept: &kept})
+	}
+}
+
 // close ends the connection to the sibling process and waits for its reader.
 func (h *handover) close() {
 	h.mu.Lock()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -60,6 +60,7 @@
 // shutdownSequence is a shutdown in progress.
 type shutdownSequence struct {
 	frontend           *frontend
+	giveUpUnused       func() // nil: there is no successor process
 	startedAt          time.Time
 	notifiedAnswersDue time.Duration // as the module was last notified
 }
@@ -79,6 +80,7 @@
 	sequence.log("stopping", "successor", hasSuccessor, "answers_due", sequence.schedule().answersDue, "exit_due", sequence.schedule().exit)
 	if hasSuccessor {
 		front.clients.Close()
+		sequence.giveUpUnused = handover.giveUpUnused
 		sequence.waitUntil(func(t stopSchedule) time.Duration { return t.closeIdle })
 	} else {
 		front.clients.setPhase(phaseClosingIdle)
@@ -133,6 +135,9 @@
 // shorter. It is negative once the step is due.
 func (s *shutdownSequence) remaining(step func(stopSchedule) time.Duration) time.Duration {
 	s.notifyModule()
+	if s.giveUpUnused != nil {
+		s.giveUpUnused()
+	}
 	return min(step(s.schedule())-time.Since(s.startedAt), scheduleCheckInterval)
 }
 
