--- a/internal/gateway/resource_share.go
+++ b/internal/gateway/resource_share.go
@@ -5,6 +5,8 @@
 const (
 	attemptsPerRequest = 2 // that may be open at once
 	shareSteps         = 8 // in which a process gives up its part, since each step costs a garbage collection
+
+	movableHeapFraction = 0.25 // of the limit of a process's heap
 )
 
 // resourceShare is the part of the resources of a gateway that one of its two processes keeps. What it gives
@@ -58,9 +60,12 @@
 	return s.ClientConns*connectionBytes + s.Attempts*attemptBytes + s.Requests*requestBytes + s.Bodies
 }
 
-// withShare returns the plan with another part, whose memory the limit of the heap follows.
+// withShare returns the plan with another part, whose memory the limit of the heap follows by up to
+// movableHeapFraction: a process needs the rest for itself.
 func (p resourcePlan) withShare(share resourceShare) resourcePlan {
-	p.heap += int64(float64(share.bytes()-p.share().bytes()) / heapInUseFraction)
+	movable := movableHeapFraction * float64(p.heap)
+	change := float64(share.bytes()-p.share().bytes()) / heapInUseFraction
+	p.heap += int64(max(min(change, movable), -movable))
 	p.clientConns, p.attempts, p.requests, p.bodies = share.ClientConns, share.Attempts, share.Requests, share.Bodies
 	return p
 }
