--- a/cmd/gateway/platform_test.go
+++ b/cmd/gateway/platform_test.go
@@ -51,6 +51,7 @@
 	Sockets      int
 	MemoryMB     int  // 0: 64
 	Extra        bool // with one more class
+	NoCancel     bool // attempts that are not needed any more run on
 	SecondCopies bool // a request may be sent to a second backend while the first attempt runs
 }
 
@@ -72,7 +73,7 @@
 	document := map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "1",
 		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(s.MemoryMB, 64), "sockets": s.Sockets},
 		"settings": map[string]any{"fleetSize": 1, "localities": []string{"a"}, "kinds": []string{"m"}, "tickS": 0.002,
-			"allowed": map[string]any{"cancel": true, "mayDuplicate": s.SecondCopies, "mostTries": 3, "connectTimeoutS": 0.25, "keepaliveS": 15, "maxRetryAfterS": 0.5,
+			"allowed": map[string]any{"cancel": !s.NoCancel, "mayDuplicate": s.SecondCopies, "mostTries": 3, "connectTimeoutS": 0.25, "keepaliveS": 15, "maxRetryAfterS": 0.5,
 				"retryAfter": true, "maxOpen": 20000},
 			"obligations": map[string]any{"answerSlackS": 0.02, "drainGraceS": 1},
 			"familyInfo":  map[string]any{"mostUnits": 4},
--- a/cmd/gateway/second_copies_test.go
+++ b/cmd/gateway/second_copies_test.go
@@ -101,7 +101,7 @@
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 60))
 	s := &copiesSoak{seed: seed, random: random, kinds: soakKinds(t), requests: map[string]string{}, answers: map[int]int{}}
-	settings := platformSettings{Deadline: 3 * time.Second, Sockets: 256 << random.IntN(2), MemoryMB: leastMemoryMB << random.IntN(2), SecondCopies: true}
+	settings := platformSettings{Deadline: 3 * time.Second, Sockets: 256 << random.IntN(2), MemoryMB: leastMemoryMB << random.IntN(2), SecondCopies: true, NoCancel: seed%2 == 1}
 	switch seed % 4 {
 	case 0:
 		s.crowd, s.crowdKind, settings.Sockets, settings.MemoryMB = wholeCrowd, "whole", 512, leastMemoryMB
