Tests plant faults by one piece of code

The peak of a process's memory is read by statusField, which reads the other figures. body.Reservation.Bytes had no caller and is gone. Assertions and edits are the same.

--- a/cmd/dunlintray/defects_test.go
+++ b/cmd/dunlintray/defects_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -14,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"dunlintray/internal/planted"
 	"dunlintray/internal/play"
 	"dunlintray/internal/referee"
 	"dunlintray/scenarios"
@@ -26,7 +25,7 @@
 	Rule     string
 	Scenario string
 	Program  string // gateway by default
-	Edit     []struct{ File, Old, New string }
+	Edit     []planted.Edit
 }
 
 func readDefects(t *testing.T) []defect {
@@ -46,47 +45,7 @@
 // executable.
 func (d defect) build(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
-	texts := map[string]string{}
-	for _, edit := range d.Edit {
-		path, err := filepath.Abs(filepath.Join("../..", edit.File))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, found := texts[path]; !found {
-			text, err := os.ReadFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			texts[path] = string(text)
-		}
-		if n := strings.Count(texts[path], edit.Old); n != 1 {
-			t.Fatalf("%s: the text to replace occurs %d times in %s, want 1", d.Name, n, edit.File)
-		}
-		texts[path] = strings.Replace(texts[path], edit.Old, edit.New, 1)
-	}
-	var overlay struct{ Replace map[string]string }
-	overlay.Replace = map[string]string{}
-	for path, text := range texts {
-		editedPath := filepath.Join(dir, fmt.Sprint(len(overlay.Replace), ".go"))
-		if err := os.WriteFile(editedPath, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		overlay.Replace[path] = editedPath
-	}
-	text, err := json.Marshal(overlay)
-	if err == nil {
-		err = os.WriteFile(filepath.Join(dir, "overlay.json"), text, 0o600)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	executable := filepath.Join(dir, "program")
-	build := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", executable, "../"+d.program())
-	if text, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%s: %v\n%s", d.Name, err, text)
-	}
-	return executable
+	return planted.Build(t, d.Name, "../..", "../"+d.program(), d.Edit)
 }
 
 func (d defect) program() string {
--- a/cmd/gateway/hostile_clients_test.go
+++ b/cmd/gateway/hostile_clients_test.go
@@ -56,16 +56,11 @@
 // peakMemory returns the largest resident memory that the process has had, in bytes.
 func (g *gatewayProcess) peakMemory() int {
 	g.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	_, line, _ := strings.Cut(string(status), "VmHWM:")
-	kilobytes, err := strconv.Atoi(strings.Fields(line)[0])
-	if err != nil {
-		g.t.Fatal(err)
+	peak := g.statusField("VmHWM")
+	if peak == 0 {
+		g.t.Fatal("no peak of the memory is known")
 	}
-	return kilobytes << 10
+	return peak
 }
 
 // hostilePrefix begins the ids of requests that no checker judges.
--- a/internal/gateway/body/reservation.go
+++ b/internal/gateway/body/reservation.go
@@ -17,16 +17,6 @@
 	return &Reservation{account: account, kind: kind, bytes: bytes}
 }
 
-// Bytes returns the number of bytes that are reserved.
-func (r *Reservation) Bytes() int {
-	if r == nil {
-		return 0
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.bytes
-}
-
 // Release gives all bytes back.
 func (r *Reservation) Release() { r.shrinkTo(0) }
 
